--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,83 @@
+//! Users', workers' and health endpoints.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use warp::http::StatusCode;
+use warp::{Filter, Rejection, Reply as _};
+
+use crate::node::Node;
+use crate::peer::Reply;
+use crate::wire::{JobId, BODY_LIMIT};
+
+type Response = warp::http::Response<Bytes>;
+
+fn respond(reply: Reply) -> Response {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let mut b = warp::http::Response::builder().status(status).header("content-type", "application/json");
+    let retry = reply.retry_after.or((status == StatusCode::SERVICE_UNAVAILABLE).then_some(1));
+    if let Some(s) = retry {
+        b = b.header("retry-after", s);
+    }
+    b.body(Bytes::from(reply.body)).unwrap_or_default()
+}
+
+async fn rejected(r: Rejection) -> Result<warp::reply::Response, Infallible> {
+    let reply = if r.find::<warp::reject::PayloadTooLarge>().is_some() {
+        Reply::error(413, "body too large")
+    } else if r.find::<warp::reject::LengthRequired>().is_some() {
+        Reply::error(411, "content-length required")
+    } else if r.find::<warp::reject::MethodNotAllowed>().is_some() {
+        Reply::error(405, "method not allowed")
+    } else if r.is_not_found() {
+        Reply::error(404, "no such path")
+    } else {
+        Reply::error(400, "malformed request")
+    };
+    Ok(respond(reply).into_response())
+}
+
+/// All endpoints.
+pub fn routes(
+    node: Arc<Node>,
+) -> impl Filter<Extract = (impl warp::Reply,), Error = Infallible> + Clone + Send + Sync + 'static {
+    let with = warp::any().map(move || node.clone());
+    let body = warp::body::content_length_limit(BODY_LIMIT).and(warp::body::bytes());
+
+    let up = warp::get().and(warp::path!("up")).map(|| respond(Reply::json(200, &serde_json::json!({}))));
+    let submit = warp::post().and(warp::path!("v2" / "runs")).and(body).and(with.clone()).then(
+        |body: Bytes, node: Arc<Node>| async move { respond(node.submit(&body).await) },
+    );
+    let poll = warp::get().and(warp::path!("v2" / "runs" / String)).and(with.clone()).then(
+        |id: String, node: Arc<Node>| async move {
+            // An id that can't be one was never accepted.
+            match id.parse::<JobId>() {
+                Ok(id) => respond(node.poll(id).await),
+                Err(_) => respond(Reply::error(404, "no such job")),
+            }
+        },
+    );
+    let cancel = warp::post().and(warp::path!("v2" / "runs" / String / "cancel")).and(with.clone()).then(
+        |id: String, node: Arc<Node>| async move {
+            match id.parse::<JobId>() {
+                Ok(id) => respond(node.cancel(id).await),
+                Err(_) => respond(Reply::error(404, "no such job")),
+            }
+        },
+    );
+    let report = warp::post().and(warp::path!("v1" / "report")).and(body).and(with).then(
+        |body: Bytes, node: Arc<Node>| async move { respond(node.report(&body).await) },
+    );
+    up.or(report)
+        .unify()
+        .or(poll)
+        .unify()
+        .or(submit)
+        .unify()
+        .or(cancel)
+        .unify()
+        .map(|r: Response| r.into_response())
+        .recover(rejected)
+        .unify()
+}
--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,102 @@
+//! Client of the cloud, paced under its limit. What is unanswered is unknown.
+
+use std::time::Duration;
+
+use hyper::Method;
+
+use crate::http::{Http, HttpError};
+use crate::store::Pace;
+use crate::wire::{ListedMachine, MachineId, MachineList, MachineType, MachineTypes, Machines, Rental};
+
+/// Why the cloud did not do it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum CloudError {
+    /// Nothing to rent of this kind.
+    #[error("no capacity")]
+    NoCapacity,
+    /// Refused for now, not carried out.
+    #[error("cloud unavailable")]
+    Unavailable,
+    /// Unanswered; it may have been carried out, or still be.
+    #[error("cloud did not answer")]
+    Unanswered,
+    /// It will never be taken.
+    #[error("rejected with status {0}")]
+    Rejected(u16),
+}
+
+/// The client.
+#[derive(Debug)]
+pub struct Cloud {
+    http: Http,
+    addr: String,
+    pace: Pace,
+}
+
+const PATIENCE: Duration = Duration::from_secs(4);
+
+impl Cloud {
+    /// A client that stays under `rps`.
+    pub fn new(http: Http, addr: String, rps: f64) -> Self {
+        Self { http, addr, pace: Pace::new(rps * 0.85, rps) }
+    }
+
+    async fn call<T: serde::de::DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<T, CloudError> {
+        let body = self.send(method, path, body).await?;
+        serde_json::from_slice(&body).map_err(|_| CloudError::Unanswered)
+    }
+
+    /// Sends a request; the body of its 200.
+    async fn send(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<bytes::Bytes, CloudError> {
+        self.pace.pass(1.0).await;
+        let r = self.http.call(method, &self.addr, path, body, PATIENCE).await.map_err(|e| match e {
+            HttpError::Unsent => CloudError::Unavailable,
+            HttpError::Unanswered => CloudError::Unanswered,
+        })?;
+        match r.status {
+            200 => Ok(r.body),
+            503 if r.body.windows(11).any(|w| w == b"no capacity") => Err(CloudError::NoCapacity),
+            429 | 503 => Err(CloudError::Unavailable),
+            500..=599 => Err(CloudError::Unanswered),
+            s => Err(CloudError::Rejected(s)),
+        }
+    }
+
+    /// The machine types on offer.
+    pub async fn machine_types(&self) -> Result<Vec<MachineType>, CloudError> {
+        Ok(self.call::<MachineTypes>(Method::GET, "/machine_types", None).await?.types)
+    }
+
+    /// Rents machines.
+    pub async fn rent(&self, rental: &Rental) -> Result<Vec<MachineId>, CloudError> {
+        let body = serde_json::to_vec(rental).map_err(|_| CloudError::Rejected(0))?;
+        Ok(self.call::<Machines>(Method::POST, "/hosts", Some(body)).await?.machines)
+    }
+
+    /// Gives machines back; once this returns they are gone.
+    pub async fn release(&self, machines: &[MachineId]) -> Result<(), CloudError> {
+        let body = serde_json::to_vec(&Machines { machines: machines.to_vec() })
+            .map_err(|_| CloudError::Rejected(0))?;
+        self.send(Method::POST, "/hosts/release", Some(body)).await.map(drop)
+    }
+
+    /// The (lagging) list of machines.
+    pub async fn machines(&self) -> Result<Vec<ListedMachine>, CloudError> {
+        let mut all: Vec<ListedMachine> = Vec::new();
+        loop {
+            let since = all.last().map(|m| format!("since={}&", m.id)).unwrap_or_default();
+            let page: MachineList =
+                self.call(Method::GET, &format!("/hosts?{since}limit=500"), None).await?;
+            let end = page.machines.is_empty() || !page.more;
+            all.extend(page.machines);
+            if end {
+                return Ok(all);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/bits.rs
@@ -0,0 +1,109 @@
+//! A set of task numbers, kept as bits and stored in pages.
+
+use std::fmt::Write;
+
+/// Tasks in one stored page.
+pub const PAGE: u32 = 8192;
+
+/// A fixed-size set of task numbers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BitSet {
+    words: Vec<u64>,
+    len: u32,
+    count: u32,
+}
+
+impl BitSet {
+    /// An empty set of numbers below `len`.
+    pub fn new(len: u32) -> Self {
+        Self { words: vec![0; len.div_ceil(64) as usize], len, count: 0 }
+    }
+
+    /// A set of all numbers below `len`.
+    pub fn full(len: u32) -> Self {
+        let mut s = Self::new(len);
+        for (i, w) in s.words.iter_mut().enumerate() {
+            let left = len - i as u32 * 64;
+            *w = if left >= 64 { u64::MAX } else { (1 << left) - 1 };
+        }
+        s.count = len;
+        s
+    }
+
+    /// How many numbers are in the set.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Whether `i` is in the set.
+    pub fn has(&self, i: u32) -> bool {
+        i < self.len && self.words[(i / 64) as usize] >> (i % 64) & 1 == 1
+    }
+
+    /// Puts `i` in; true if it was not.
+    pub fn insert(&mut self, i: u32) -> bool {
+        if i >= self.len || self.has(i) {
+            return false;
+        }
+        self.words[(i / 64) as usize] |= 1 << (i % 64);
+        self.count += 1;
+        true
+    }
+
+    /// Takes `i` out; true if it was in.
+    pub fn remove(&mut self, i: u32) -> bool {
+        if !self.has(i) {
+            return false;
+        }
+        self.words[(i / 64) as usize] &= !(1 << (i % 64));
+        self.count -= 1;
+        true
+    }
+
+    /// The smallest number in the set.
+    pub fn first(&self) -> Option<u32> {
+        let (i, w) = self.words.iter().enumerate().find(|(_, w)| **w != 0)?;
+        Some(i as u32 * 64 + w.trailing_zeros())
+    }
+
+    /// How many pages the set is stored in.
+    pub fn pages(len: u32) -> u32 {
+        len.div_ceil(PAGE)
+    }
+
+    /// A page as text: hexadecimal words, trailing zero words left out.
+    pub fn page(&self, page: u32) -> String {
+        let per = (PAGE / 64) as usize;
+        let from = page as usize * per;
+        let to = (from + per).min(self.words.len());
+        let words = &self.words[from..to];
+        let used = words.iter().rposition(|w| *w != 0).map_or(0, |p| p + 1);
+        let mut out = String::with_capacity(used * 16);
+        for w in &words[..used] {
+            let _ = write!(out, "{w:016x}");
+        }
+        out
+    }
+
+    /// Adds a stored page; false if it is malformed.
+    pub fn merge_page(&mut self, page: u32, text: &str) -> bool {
+        if !text.len().is_multiple_of(16) || !text.is_ascii() {
+            return false;
+        }
+        let from = (page * (PAGE / 64)) as usize;
+        for (i, chunk) in text.as_bytes().chunks(16).enumerate() {
+            let Some(word) =
+                std::str::from_utf8(chunk).ok().and_then(|s| u64::from_str_radix(s, 16).ok())
+            else {
+                return false;
+            };
+            let base = (from + i) as u32 * 64;
+            for b in 0..64 {
+                if word >> b & 1 == 1 {
+                    self.insert(base + b);
+                }
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,370 @@
+//! Rentals and returns: enough room for what waits, some warm room for what
+//! comes, and nothing idle for long.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use tracing::info;
+
+use super::model::{type_allowed, Machine, Model, Phase, SlotState, EPS};
+use super::plan::rank;
+use crate::wire::{JobSpec, MachineId, Rental};
+
+/// A kind of machine at a place: type, zone, spot.
+pub type Offer = (String, String, bool);
+
+/// What the fleet remembers between rounds.
+#[derive(Debug, Default)]
+pub struct FleetState {
+    /// Requests given out in this term.
+    requests: u64,
+    /// Offers that were refused, not to be asked for before.
+    pub refused: BTreeMap<Offer, Instant>,
+    /// Machines asked for and not yet answered.
+    pub pending: BTreeMap<String, (Offer, u32, Instant)>,
+    /// A release of these is under way.
+    pub releasing: BTreeSet<MachineId>,
+}
+
+/// What the fleet wants of the cloud.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Wish {
+    /// Rent machines.
+    Rent(Rental),
+    /// Give machines back.
+    Release(Vec<MachineId>),
+}
+
+/// A machine that exists, boots or is to be rented, for packing.
+struct Bin {
+    kind: usize,
+    zone: String,
+    spot: bool,
+    cpus: f64,
+    gpus: f64,
+    memory: f64,
+}
+
+impl Model {
+    /// Decides what to rent and to return.
+    pub fn fleet(&mut self, now: Instant) -> Vec<Wish> {
+        if self.types.is_empty() {
+            return Vec::new();
+        }
+        let mut wishes = Vec::new();
+        let release = self.to_release(now);
+        if !release.is_empty() {
+            for id in &release {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.phase = Phase::Releasing;
+                }
+                self.fleet.releasing.insert(id.clone());
+            }
+            wishes.extend(release.chunks(100).map(|c| Wish::Release(c.to_vec())));
+        }
+        for (offer, count) in self.to_rent(now) {
+            self.fleet.requests += 1;
+            let request = format!("r-{}-{}", self.term, self.fleet.requests);
+            info!(request, kind = offer.0, zone = offer.1, spot = offer.2, count, "renting");
+            self.fleet.pending.insert(request.clone(), (offer.clone(), count, now));
+            wishes.push(Wish::Rent(Rental {
+                request,
+                machine_type: offer.0,
+                zone: offer.1,
+                spot: offer.2,
+                count,
+            }));
+        }
+        wishes
+    }
+
+    /// The cloud answered a rental with machines.
+    pub fn rental_done(&mut self, r: &Rental, machines: &[MachineId], now: Instant) {
+        self.fleet.pending.remove(&r.request);
+        for id in machines {
+            self.rented(id.clone(), &r.machine_type, &r.zone, r.spot, now);
+        }
+        if (machines.len() as u32) < r.count {
+            self.refuse(r, now);
+        }
+    }
+
+    /// The cloud refused a rental, or it is given up unanswered. What it may
+    /// still rent shows up in the list or by its worker's reports.
+    pub fn rental_failed(&mut self, r: &Rental, now: Instant) {
+        self.fleet.pending.remove(&r.request);
+        self.refuse(r, now);
+    }
+
+    fn refuse(&mut self, r: &Rental, now: Instant) {
+        let offer = (r.machine_type.clone(), r.zone.clone(), r.spot);
+        self.fleet.refused.insert(offer, now + Duration::from_secs(10));
+    }
+
+    /// A release was confirmed or failed.
+    pub fn release_done(&mut self, ids: &[MachineId], ok: bool, now: Instant) {
+        for id in ids {
+            self.fleet.releasing.remove(id);
+            if ok {
+                self.released(id, now);
+            } else if let Some(m) = self.machines.get_mut(id) {
+                m.phase = if m.heard.is_some() { Phase::Up } else { Phase::Booting };
+            }
+        }
+    }
+
+    fn kind_of(&self, m: &Machine) -> Option<usize> {
+        self.types.iter().position(|t| t.name == m.machine_type)
+    }
+
+    fn to_release(&self, now: Instant) -> Vec<MachineId> {
+        let silent_after = self.config.tuning.silent;
+        let mut out = Vec::new();
+        let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
+        let silent = |m: &Machine| {
+            let last = m.heard.unwrap_or(m.since);
+            now.saturating_duration_since(last) > silent_after
+        };
+        let silent_count = up.iter().filter(|m| silent(m)).count();
+        // Most of them silent at once: it is we who don't hear.
+        let deaf = silent_count > 2 && silent_count * 2 > up.len();
+        let mut idle: Vec<&Machine> = Vec::new();
+        for m in self.machines.values() {
+            let why = match m.phase {
+                Phase::Releasing => continue,
+                Phase::Booting => {
+                    let boot = self.kind_of(m).map_or(30.0, |k| self.types[k].boot_s);
+                    let most = Duration::from_secs_f64(boot * 4.0 + 10.0) + self.config.list_lag;
+                    if now.saturating_duration_since(m.since) <= most {
+                        continue;
+                    }
+                    if m.slots.is_empty() {
+                        "never came up"
+                    } else {
+                        "silent since it was found"
+                    }
+                }
+                Phase::Up if silent(m) && !deaf => "silent",
+                Phase::Up if m.cordoned && m.empty() => "failed or faulty",
+                Phase::Up if m.recall.is_some() && m.empty() => "spot notice",
+                Phase::Up => {
+                    if m.slots.is_empty() && m.idle_since.is_some() && !silent(m) {
+                        idle.push(m);
+                    }
+                    continue;
+                }
+            };
+            info!(machine = %m.id, why, "releasing");
+            out.push(m.id.clone());
+        }
+        // Idle ones beyond the warm room, dear ones first.
+        if self.jobs.values().any(|j| !j.cancelled && j.waiting.count() > 0) {
+            return out;
+        }
+        let (mut free, used) = self.room(now);
+        let keep = used * self.config.tuning.warm;
+        idle.sort_by(|a, b| self.price(b).total_cmp(&self.price(a)).then(a.idle_since.cmp(&b.idle_since)));
+        for m in idle {
+            let Some(k) = self.kind_of(m) else { continue };
+            let long = m.idle_since.is_some_and(|t| now.saturating_duration_since(t) > self.config.tuning.idle);
+            let cpus = self.types[k].cpus;
+            if long && free - cpus >= keep {
+                free -= cpus;
+                info!(machine = %m.id, why = "idle", "releasing");
+                out.push(m.id.clone());
+            }
+        }
+        out
+    }
+
+    fn price(&self, m: &Machine) -> f64 {
+        self.kind_of(m).map_or(0.0, |k| {
+            let t = &self.types[k];
+            (if m.spot { t.spot_price } else { t.price }) / t.cpus.max(1.0)
+        })
+    }
+
+    /// Free and used CPUs of machines that are up or boot.
+    fn room(&self, now: Instant) -> (f64, f64) {
+        let (mut free, mut used) = (0.0, 0.0);
+        for m in self.machines.values() {
+            let Some(k) = self.kind_of(m) else { continue };
+            let mut mine = 0.0;
+            for s in m.slots.values().filter(|s| s.takes_room()) {
+                mine += s.spec.as_ref().map_or(0.0, |s| s.cpus);
+            }
+            used += mine;
+            if m.phase == Phase::Booting || (self.usable(m, now) && m.recall.is_none()) {
+                free += self.types[k].cpus - mine;
+            }
+        }
+        (free, used)
+    }
+
+    /// Packs what waits onto what there is; the rest is to be rented.
+    fn to_rent(&self, now: Instant) -> Vec<(Offer, u32)> {
+        let mut bins: Vec<Bin> = Vec::new();
+        for m in self.machines.values() {
+            let Some(kind) = self.kind_of(m) else { continue };
+            let booting = m.phase == Phase::Booting;
+            if !booting && !(self.usable(m, now) && m.recall.is_none()) {
+                continue;
+            }
+            let t = &self.types[kind];
+            let mut b = Bin {
+                kind,
+                zone: m.zone.clone(),
+                spot: m.spot,
+                cpus: t.cpus,
+                gpus: t.gpus,
+                memory: t.memory_gb,
+            };
+            for s in m.slots.values().filter(|s| s.takes_room() && s.state != SlotState::Unknown) {
+                if let Some(s) = &s.spec {
+                    b.cpus -= s.cpus;
+                    b.gpus -= s.gpus;
+                    b.memory -= s.memory_gb;
+                }
+            }
+            bins.push(b);
+        }
+        for (offer, count, _) in self.fleet.pending.values() {
+            for _ in 0..*count {
+                if let Some(b) = self.new_bin(offer) {
+                    bins.push(b);
+                }
+            }
+        }
+        let mut total = self.machines.len() + self.fleet.pending.values().map(|p| p.1 as usize).sum::<usize>();
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        let mut usage = self.usage();
+        let mut queue: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled && j.waiting.count() > 0 && j.pause_until.is_none_or(|t| t <= now))
+            .collect();
+        queue.sort_by_key(|j| rank(j));
+        let mut cpus_waiting = 0.0;
+        for j in queue {
+            let s = &j.spec;
+            let mut left = if j.failed_on.len() >= 3 { 1 } else { j.waiting.count() };
+            if let Some(t) = self.config.teams.get(&s.team) {
+                let u = usage.entry(s.team.clone()).or_default();
+                for (most, used, need) in [(t.cpus_max, u.cpus, s.cpus), (t.gpus_max, u.gpus, s.gpus)] {
+                    if most > 0.0 && need > 0.0 {
+                        left = left.min(((most - used + EPS) / need).max(0.0) as u32);
+                    }
+                }
+                u.cpus += f64::from(left) * s.cpus;
+                u.gpus += f64::from(left) * s.gpus;
+            }
+            cpus_waiting += f64::from(left) * s.cpus;
+            for b in &mut bins {
+                while left > 0 && self.fits_bin(s, b) {
+                    b.cpus -= s.cpus;
+                    b.gpus -= s.gpus;
+                    b.memory -= s.memory_gb;
+                    left -= 1;
+                }
+            }
+            while left > 0 && total < self.config.tuning.most_machines {
+                let Some(offer) = self.best_offer(s, left, &wanted, now) else { break };
+                let Some(mut b) = self.new_bin(&offer) else { break };
+                total += 1;
+                let before = left;
+                while left > 0 && self.fits_bin(s, &b) {
+                    b.cpus -= s.cpus;
+                    b.gpus -= s.gpus;
+                    b.memory -= s.memory_gb;
+                    left -= 1;
+                }
+                bins.push(b);
+                *wanted.entry(offer).or_default() += 1;
+                if left == before {
+                    break;
+                }
+            }
+        }
+        self.keep_warm(&bins, cpus_waiting, total, &mut wanted, now);
+        wanted.into_iter().map(|(o, n)| (o, n.min(50))).collect()
+    }
+
+    /// Some free room for what comes next.
+    fn keep_warm(
+        &self,
+        bins: &[Bin],
+        cpus_waiting: f64,
+        mut total: usize,
+        wanted: &mut BTreeMap<Offer, u32>,
+        now: Instant,
+    ) {
+        let (_, used) = self.room(now);
+        let mut free: f64 = bins.iter().map(|b| b.cpus.max(0.0)).sum();
+        let keep = (used + cpus_waiting) * self.config.tuning.warm;
+        let Some(like) = self.jobs.values().filter(|j| !j.cancelled).map(|j| j.spec.clone()).max_by(|a, b| {
+            a.cpus.total_cmp(&b.cpus).then(a.spot.cmp(&b.spot))
+        }) else {
+            return;
+        };
+        while free + EPS < keep && total < self.config.tuning.most_machines {
+            let Some(offer) = self.best_offer(&like, 1, wanted, now) else { break };
+            let Some(b) = self.new_bin(&offer) else { break };
+            free += b.cpus;
+            total += 1;
+            *wanted.entry(offer).or_default() += 1;
+        }
+    }
+
+    fn new_bin(&self, offer: &Offer) -> Option<Bin> {
+        let kind = self.types.iter().position(|t| t.name == offer.0)?;
+        let t = &self.types[kind];
+        Some(Bin {
+            kind,
+            zone: offer.1.clone(),
+            spot: offer.2,
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory: t.memory_gb,
+        })
+    }
+
+    fn fits_bin(&self, s: &JobSpec, b: &Bin) -> bool {
+        b.cpus + EPS >= s.cpus
+            && b.gpus + EPS >= s.gpus
+            && b.memory + EPS >= s.memory_gb
+            && (s.spot || !b.spot)
+            && s.zone.as_ref().is_none_or(|z| *z == b.zone)
+            && type_allowed(s, &self.types[b.kind])
+    }
+
+    /// The offer that runs a job's tasks for the least money, among those not
+    /// refused of late; spread over the zones.
+    fn best_offer(&self, s: &JobSpec, left: u32, wanted: &BTreeMap<Offer, u32>, now: Instant) -> Option<Offer> {
+        let mut best: Option<((f64, u32), Offer)> = None;
+        for t in self.types.iter().filter(|t| type_allowed(s, t)) {
+            let per = |have: f64, need: f64| if need > 0.0 { (have + EPS) / need } else { f64::MAX };
+            let n = per(t.cpus, s.cpus).min(per(t.gpus, s.gpus)).min(per(t.memory_gb, s.memory_gb));
+            let n = n.floor().min(f64::from(left)).max(1.0);
+            let zones = if t.zones.is_empty() { &self.config.zones } else { &t.zones };
+            for zone in zones.iter().filter(|z| s.zone.as_ref().is_none_or(|w| w == *z)) {
+                for spot in [true, false] {
+                    if spot && (!s.spot || t.spot_price <= 0.0) {
+                        continue;
+                    }
+                    let offer = (t.name.clone(), zone.clone(), spot);
+                    if self.fleet.refused.get(&offer).is_some_and(|u| *u > now) {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { t.price };
+                    let here = self.machines.values().filter(|m| m.zone == *zone).count() as u32
+                        + wanted.iter().filter(|(o, _)| o.1 == *zone).map(|(_, n)| n).sum::<u32>();
+                    let score = (price / n, here);
+                    if best.as_ref().is_none_or(|(b, _)| score < *b) {
+                        best = Some((score, offer));
+                    }
+                }
+            }
+        }
+        best.map(|(_, o)| o)
+    }
+}
--- /dev/null
+++ b/src/core/plan.rs
@@ -0,0 +1,534 @@
+//! PV-EASY: jobs start in priority order; shadow load is killed when that
+//! starts the blocked head at once; then venture backfilling, first by
+//! predicted finish within the reservation, then by priority.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
+use crate::wire::{JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId};
+
+/// Place of a job in the queue; the smaller comes first.
+pub type Rank = (std::cmp::Reverse<Priority>, Instant, JobId);
+
+/// The rank of a job.
+pub fn rank(job: &Job) -> Rank {
+    (std::cmp::Reverse(job.spec.priority), job.arrival, job.spec.id)
+}
+
+/// Free room of a machine that may be placed on.
+#[derive(Debug, Clone)]
+struct Room {
+    machine: MachineId,
+    zone: String,
+    spot: bool,
+    kind: usize,
+    cpus: f64,
+    gpus: f64,
+    memory: f64,
+    slots_left: usize,
+    recall: Option<Instant>,
+    /// Room that running tasks will give back: predicted end, amounts, task.
+    load: Vec<Load>,
+}
+
+#[derive(Debug, Clone)]
+struct Load {
+    end: Instant,
+    cpus: f64,
+    gpus: f64,
+    memory: f64,
+    shadow: bool,
+    rank: Option<Rank>,
+    task: TaskId,
+    grace: Duration,
+    started: Instant,
+}
+
+/// What a team uses.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Usage {
+    /// CPUs.
+    pub cpus: f64,
+    /// Accelerators.
+    pub gpus: f64,
+}
+
+/// What a round did.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Round {
+    /// Started in order.
+    pub in_order: u32,
+    /// Started by backfilling.
+    pub backfilled: u32,
+    /// Shadow tasks stopped for the head.
+    pub preempted: u32,
+}
+
+/// How a placement attempt went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Tried {
+    Placed,
+    /// No machine has room for it.
+    NoRoom,
+    /// Its team's limit, its own pause, or its placement rules forbid it now.
+    Barred,
+}
+
+impl Model {
+    /// Run time predicted for a task of a job: the estimate times the ratio of
+    /// the team's last finished job, never more than the estimate.
+    pub fn predict(&self, spec: &JobSpec) -> Duration {
+        if spec.kind == Kind::Service || spec.estimate_s <= 0.0 {
+            return Duration::from_secs(365 * 86_400);
+        }
+        let ratio = self.ratios.get(&spec.team).copied().unwrap_or(1.0);
+        Duration::from_secs_f64(spec.estimate_s * ratio.min(1.0))
+    }
+
+    /// When a slot is predicted to be free.
+    fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
+        let Some(spec) = &slot.spec else { return now + Duration::from_secs(1) };
+        let p = self.predict(spec);
+        let since = slot.running_since.unwrap_or(now);
+        let end = since + p;
+        if end > now {
+            return end;
+        }
+        // It has outrun the prediction: the estimate comes next, then a guess
+        // in proportion to its age. No job dies for outrunning its estimate.
+        let full = since + Duration::from_secs_f64(spec.estimate_s.max(0.0));
+        if full > now {
+            full
+        } else {
+            now + (now - since) / 5 + Duration::from_secs(1)
+        }
+    }
+
+    /// What each team's tasks use, or may use, wherever they may be.
+    pub fn usage(&self) -> HashMap<String, Usage> {
+        let mut use_of: HashMap<String, Usage> = HashMap::new();
+        for m in self.machines.values() {
+            for s in m.slots.values().filter(|s| s.takes_room()) {
+                if let Some(spec) = &s.spec {
+                    let u = use_of.entry(spec.team.clone()).or_default();
+                    u.cpus += spec.cpus;
+                    u.gpus += spec.gpus;
+                }
+            }
+        }
+        use_of
+    }
+
+    /// Whether a machine may be placed on.
+    pub fn usable(&self, m: &Machine, now: Instant) -> bool {
+        m.phase == Phase::Up
+            && m.fenced(self.term)
+            && !m.cordoned
+            && !m.addr.is_empty()
+            && m.full_until.is_none_or(|t| t <= now)
+            && m.heard.is_some_and(|h| now.saturating_duration_since(h) < self.config.report * 2)
+    }
+
+    /// Most slots whose names fit a machine's record.
+    pub fn slots_per_machine(&self) -> usize {
+        (self.config.value_bytes.saturating_sub(512) / 48).max(1)
+    }
+
+    /// One scheduling round.
+    pub fn plan(&mut self, now: Instant) -> Round {
+        let mut round = Round::default();
+        let mut queue: Vec<(Rank, JobId)> = self
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled && j.waiting.count() > 0)
+            .map(|j| (rank(j), j.spec.id))
+            .collect();
+        if queue.is_empty() {
+            self.all_sunny();
+            return round;
+        }
+        queue.sort_unstable();
+        let mut p = Planner::new(self, now);
+
+        // In order, until the head stalls.
+        let mut head: Option<(usize, Rank)> = None;
+        for (at, (rank, id)) in queue.iter().enumerate() {
+            let tried = p.place_all(*id, false, None, &mut round.in_order);
+            if tried == Tried::NoRoom {
+                head = Some((at, *rank));
+                break;
+            }
+        }
+        let Some((at, head_rank)) = head else {
+            self.all_sunny();
+            return round;
+        };
+        let head_id = queue[at].1;
+        p.shade(head_rank);
+
+        // Shadow load preemption.
+        while p.preempt_for(head_id, &mut round) {}
+        let tried = p.place_all(head_id, false, None, &mut round.in_order);
+        let rest = &queue[at + 1..];
+        if tried != Tried::NoRoom {
+            // Preemption finished the head; the next round goes on in order.
+            // What is left over is filled below.
+        }
+
+        // Venture backfilling within the reservation, nearest finish first.
+        let reservation = p.reservation(head_id);
+        let mut by_finish: Vec<(Duration, Rank, JobId)> = rest
+            .iter()
+            .filter_map(|(r, id)| {
+                let spec = &p.model.jobs.get(id)?.spec;
+                Some((p.model.predict(spec), *r, *id))
+            })
+            .collect();
+        by_finish.sort_unstable();
+        if let Some(limit) = reservation {
+            for (_, _, id) in &by_finish {
+                p.place_all(*id, true, Some(limit), &mut round.backfilled);
+            }
+        }
+        // Then whatever room is left, by priority.
+        for (_, id) in rest {
+            p.place_all(*id, true, None, &mut round.backfilled);
+        }
+        self.settle_shadow(now);
+        round
+    }
+
+    fn all_sunny(&mut self) {
+        for s in self.machines.values_mut().flat_map(|m| m.slots.values_mut()) {
+            s.backfilled = false;
+        }
+    }
+
+    /// A backfilled task that no waiting job outranks any more is sunny.
+    fn settle_shadow(&mut self, now: Instant) {
+        let top = self
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled && j.waiting.count() > 0 && j.pause_until.is_none_or(|t| t <= now))
+            .map(rank)
+            .min();
+        let jobs = &self.jobs;
+        for m in self.machines.values_mut() {
+            for (task, s) in m.slots.iter_mut().filter(|(_, s)| s.backfilled) {
+                let own = jobs.get(&task.job).map(rank);
+                if own.is_some_and(|o| top.is_none_or(|t| o <= t)) {
+                    s.backfilled = false;
+                }
+            }
+        }
+    }
+}
+
+struct Planner<'m> {
+    model: &'m mut Model,
+    now: Instant,
+    rooms: Vec<Room>,
+    usage: HashMap<String, Usage>,
+    types: Vec<MachineType>,
+    /// Tasks of a job by zone, where a placement rule asks for it.
+    zones: HashMap<JobId, BTreeMap<String, u32>>,
+}
+
+impl<'m> Planner<'m> {
+    fn new(model: &'m mut Model, now: Instant) -> Self {
+        let usage = model.usage();
+        let types = model.types.clone();
+        let most = model.slots_per_machine();
+        let mut rooms = Vec::new();
+        for m in model.machines.values().filter(|m| model.usable(m, now)) {
+            let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else { continue };
+            let t = &types[kind];
+            let mut room = Room {
+                machine: m.id.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                kind,
+                cpus: t.cpus,
+                gpus: t.gpus,
+                memory: t.memory_gb,
+                slots_left: most.saturating_sub(m.slots.len()),
+                recall: m.recall,
+                load: Vec::new(),
+            };
+            for (task, s) in m.slots.iter().filter(|(_, s)| s.takes_room()) {
+                let Some(spec) = &s.spec else { continue };
+                room.cpus -= spec.cpus;
+                room.gpus -= spec.gpus;
+                room.memory -= spec.memory_gb;
+                let grace = if spec.checkpoint_s > 0.0 {
+                    Duration::from_secs_f64(spec.save_s)
+                } else {
+                    Duration::ZERO
+                };
+                room.load.push(Load {
+                    end: if s.stop.is_some() { now } else { model.predicted_end(s, now) },
+                    cpus: spec.cpus,
+                    gpus: spec.gpus,
+                    memory: spec.memory_gb,
+                    shadow: s.backfilled && s.stop.is_none() && !matches!(s.state, SlotState::Saving),
+                    rank: model.jobs.get(&task.job).map(rank),
+                    task: *task,
+                    grace,
+                    started: s.running_since.unwrap_or(s.placed_at),
+                });
+            }
+            rooms.push(room);
+        }
+        Self { model, now, rooms, usage, types, zones: HashMap::new() }
+    }
+
+    /// Keeps as shadow only what the head outranks.
+    fn shade(&mut self, head: Rank) {
+        for l in self.rooms.iter_mut().flat_map(|r| r.load.iter_mut()) {
+            l.shadow &= l.rank.is_some_and(|r| r > head);
+        }
+    }
+
+    /// Whether the team's limit leaves room for one more task.
+    fn within_limit(&self, spec: &JobSpec) -> bool {
+        let Some(team) = self.model.config.teams.get(&spec.team) else { return false };
+        let used = self.usage.get(&spec.team).copied().unwrap_or_default();
+        let ok = |most: f64, used: f64, need: f64| most <= 0.0 || used + need <= most + EPS;
+        ok(team.cpus_max, used.cpus, spec.cpus) && ok(team.gpus_max, used.gpus, spec.gpus)
+    }
+
+    /// Zones of the job's tasks, wherever they may be.
+    fn zones_of(&mut self, id: JobId) -> &mut BTreeMap<String, u32> {
+        let model = &self.model;
+        self.zones.entry(id).or_insert_with(|| {
+            let mut zones = BTreeMap::new();
+            if let Some(job) = model.jobs.get(&id) {
+                for m in job.places.values().flatten().filter_map(|m| model.machines.get(m)) {
+                    *zones.entry(m.zone.clone()).or_default() += 1;
+                }
+            }
+            zones
+        })
+    }
+
+    /// Zones that the job's rules forbid for its next task; `None`: no rule.
+    fn zone_rule(&mut self, spec: &JobSpec) -> Option<BTreeMap<String, u32>> {
+        (spec.one_zone || spec.spread).then(|| self.zones_of(spec.id).clone())
+    }
+
+    fn zone_allowed(spec: &JobSpec, zones: Option<&BTreeMap<String, u32>>, zone: &str) -> bool {
+        if spec.zone.as_ref().is_some_and(|z| z != zone) {
+            return false;
+        }
+        let Some(zones) = zones else { return true };
+        if spec.one_zone && zones.keys().any(|z| z != zone) {
+            return false;
+        }
+        if spec.spread {
+            let here = zones.get(zone).copied().unwrap_or(0);
+            if here + 1 > spec.tasks.div_ceil(2) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn machine_allowed(&self, spec: &JobSpec, room: &Room) -> bool {
+        (spec.spot || !room.spot)
+            && type_allowed(spec, &self.types[room.kind])
+            && room.slots_left > 0
+            && room.recall.is_none_or(|r| self.now + self.model.predict(spec) < r)
+    }
+
+    /// Places as many of a job's waiting tasks as fit; with `limit`, only
+    /// where they are predicted to end by then.
+    fn place_all(&mut self, id: JobId, backfill: bool, limit: Option<Instant>, count: &mut u32) -> Tried {
+        loop {
+            match self.place_one(id, backfill, limit) {
+                Some(Tried::Placed) => *count += 1,
+                Some(other) => return other,
+                None => return Tried::Placed,
+            }
+        }
+    }
+
+    /// `None`: nothing of the job waits.
+    fn place_one(&mut self, id: JobId, backfill: bool, limit: Option<Instant>) -> Option<Tried> {
+        let job = self.model.jobs.get(&id)?;
+        let index = job.waiting.first()?;
+        let spec: Arc<JobSpec> = job.spec.clone();
+        if job.cancelled || job.pause_until.is_some_and(|t| t > self.now) {
+            return Some(Tried::Barred);
+        }
+        // A job that failed on several machines is tried on one at a time.
+        if job.failed_on.len() >= 3 && !job.places.is_empty() {
+            return Some(Tried::Barred);
+        }
+        if !self.within_limit(&spec) {
+            return Some(Tried::Barred);
+        }
+        let failed_on = job.failed_on.clone();
+        let task = TaskId { job: id, index };
+        let zones = self.zone_rule(&spec);
+        let run = self.model.predict(&spec);
+        let mut best: Option<((bool, u8, bool, f64, f64), usize)> = None;
+        for (at, room) in self.rooms.iter().enumerate() {
+            if room.cpus + EPS < spec.cpus
+                || room.gpus + EPS < spec.gpus
+                || room.memory + EPS < spec.memory_gb
+                || !self.machine_allowed(&spec, room)
+                || !Self::zone_allowed(&spec, zones.as_ref(), &room.zone)
+            {
+                continue;
+            }
+            let Some(m) = self.model.machines.get(&room.machine) else { continue };
+            if m.slots.contains_key(&task) {
+                continue;
+            }
+            let cached = m.has_image(&spec.image);
+            let kind = &self.types[room.kind];
+            let fetch = if cached || kind.fetch_gb_per_s <= 0.0 {
+                Duration::ZERO
+            } else {
+                Duration::from_secs_f64(spec.image_gb / kind.fetch_gb_per_s)
+            };
+            if limit.is_some_and(|l| self.now + run + fetch > l) {
+                continue;
+            }
+            let failed = failed_on.contains(&m.id);
+            let price = if room.spot { kind.spot_price } else { kind.price } / kind.cpus.max(1.0);
+            // Spot first, for what it costs, then the fullest machine.
+            let score = (failed, u8::from(!cached), !room.spot, price, room.cpus - spec.cpus);
+            if best.as_ref().is_none_or(|(b, _)| score < *b) {
+                best = Some((score, at));
+            }
+        }
+        let Some((_, at)) = best else { return Some(Tried::NoRoom) };
+        self.take(at, &spec, task, backfill);
+        Some(Tried::Placed)
+    }
+
+    fn take(&mut self, at: usize, spec: &Arc<JobSpec>, task: TaskId, backfill: bool) {
+        let end = self.now + self.model.predict(spec);
+        let rank = self.model.jobs.get(&task.job).map(rank);
+        let room = &mut self.rooms[at];
+        room.cpus -= spec.cpus;
+        room.gpus -= spec.gpus;
+        room.memory -= spec.memory_gb;
+        room.slots_left = room.slots_left.saturating_sub(1);
+        room.load.push(Load {
+            end,
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory: spec.memory_gb,
+            shadow: false,
+            rank,
+            task,
+            grace: Duration::ZERO,
+            started: self.now,
+        });
+        let u = self.usage.entry(spec.team.clone()).or_default();
+        u.cpus += spec.cpus;
+        u.gpus += spec.gpus;
+        let (machine, zone) = (room.machine.clone(), room.zone.clone());
+        if spec.one_zone || spec.spread {
+            *self.zones_of(task.job).entry(zone).or_default() += 1;
+        }
+        self.model.place(&machine, task, backfill, self.now);
+    }
+
+    /// Stops shadow tasks on one machine if that starts a task of the head at
+    /// once; lowest priority first, where the least work is lost.
+    fn preempt_for(&mut self, head: JobId, round: &mut Round) -> bool {
+        let Some(job) = self.model.jobs.get(&head) else { return false };
+        let Some(index) = job.waiting.first() else { return false };
+        let spec = job.spec.clone();
+        let task = TaskId { job: head, index };
+        if !self.within_limit(&spec) {
+            return false;
+        }
+        let zones = self.zone_rule(&spec);
+        let mut best: Option<(Duration, usize, Vec<usize>)> = None;
+        for (at, room) in self.rooms.iter().enumerate() {
+            if !self.machine_allowed(&spec, room)
+                || !Self::zone_allowed(&spec, zones.as_ref(), &room.zone)
+                || self.model.machines.get(&room.machine).is_none_or(|m| m.slots.contains_key(&task))
+            {
+                continue;
+            }
+            let mut shadows: Vec<usize> = (0..room.load.len()).filter(|i| room.load[*i].shadow).collect();
+            shadows.sort_by_key(|i| std::cmp::Reverse((room.load[*i].rank, room.load[*i].started)));
+            let (mut c, mut g, mut mem) = (room.cpus, room.gpus, room.memory);
+            let mut victims = Vec::new();
+            let mut lost = Duration::ZERO;
+            for i in shadows {
+                if c + EPS >= spec.cpus && g + EPS >= spec.gpus && mem + EPS >= spec.memory_gb {
+                    break;
+                }
+                let l = &room.load[i];
+                c += l.cpus;
+                g += l.gpus;
+                mem += l.memory;
+                lost += self.now.saturating_duration_since(l.started);
+                victims.push(i);
+            }
+            let fits = c + EPS >= spec.cpus && g + EPS >= spec.gpus && mem + EPS >= spec.memory_gb;
+            if fits && best.as_ref().is_none_or(|(b, _, _)| lost < *b) {
+                best = Some((lost, at, victims));
+            }
+        }
+        let Some((_, at, mut victims)) = best else { return false };
+        victims.sort_unstable_by(|a, b| b.cmp(a));
+        let machine = self.rooms[at].machine.clone();
+        for i in victims {
+            let room = &mut self.rooms[at];
+            let l = room.load.remove(i);
+            room.cpus += l.cpus;
+            room.gpus += l.gpus;
+            room.memory += l.memory;
+            round.preempted += 1;
+            let why = format!("shadow of {head}");
+            self.model.stop(&machine, l.task, l.grace, self.now, &why);
+        }
+        self.take(at, &spec, task, false);
+        round.in_order += 1;
+        true
+    }
+
+    /// When the head's next task is predicted to fit, counting sunny load
+    /// only; `None` if it can't be told.
+    fn reservation(&mut self, head: JobId) -> Option<Instant> {
+        let job = self.model.jobs.get(&head)?;
+        job.waiting.first()?;
+        let spec = job.spec.clone();
+        let zones = self.zone_rule(&spec);
+        let mut best: Option<Instant> = None;
+        for room in &self.rooms {
+            if !self.machine_allowed(&spec, room) || !Self::zone_allowed(&spec, zones.as_ref(), &room.zone) {
+                continue;
+            }
+            let (mut c, mut g, mut mem) = (room.cpus, room.gpus, room.memory);
+            for l in room.load.iter().filter(|l| l.shadow) {
+                c += l.cpus;
+                g += l.gpus;
+                mem += l.memory;
+            }
+            let mut sunny: Vec<&Load> = room.load.iter().filter(|l| !l.shadow).collect();
+            sunny.sort_by_key(|l| l.end);
+            for l in sunny {
+                c += l.cpus;
+                g += l.gpus;
+                mem += l.memory;
+                if c + EPS >= spec.cpus && g + EPS >= spec.gpus && mem + EPS >= spec.memory_gb {
+                    if best.is_none_or(|b| l.end < b) {
+                        best = Some(l.end);
+                    }
+                    break;
+                }
+            }
+        }
+        best
+    }
+}
--- /dev/null
+++ b/src/leader/reign.rs
@@ -0,0 +1,689 @@
+//! One leader's time in office: takeover, rounds, and answers.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use serde_json::Value;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+use tracing::{debug, info};
+
+use crate::cloud::CloudError;
+use crate::core::fleet::Wish;
+use crate::core::model::{Heard, Phase};
+use crate::core::record::{self, JobRecord, MachineRecord};
+use crate::core::store_plan::Write;
+use crate::core::Model;
+use crate::node::{accepted, view_reply, wall_ms, Lookup, Node, Role};
+use crate::peer::Reply;
+use crate::store::{CommitError, StoreError, Unit, Writer};
+use crate::wire::{JobId, JobSpec, MachineId, Report, ReportReply};
+use crate::worker::{self, Commanded};
+
+/// A worker that came back from the controller it was sent to is not sent
+/// there again for so long.
+const AVOID: Duration = Duration::from_secs(30);
+
+/// Where workers were sent, to see who comes back.
+#[derive(Debug, Default)]
+struct Sent {
+    to: HashMap<MachineId, (String, Instant)>,
+    avoid: HashMap<(MachineId, String), Instant>,
+}
+
+/// A term in office.
+#[derive(Debug)]
+pub struct Reign {
+    /// The term.
+    pub term: u64,
+    node: Arc<Node>,
+    lease: u64,
+    model: Mutex<Model>,
+    writer: Arc<Writer>,
+    /// The right to act ends here.
+    right: Mutex<Instant>,
+    loaded: AtomicBool,
+    over: AtomicBool,
+    ended: Notify,
+    kick: Notify,
+    sent: Mutex<Sent>,
+}
+
+impl Reign {
+    /// A term that was just won by a request sent at `sent`.
+    pub fn new(node: Arc<Node>, term: u64, lease: u64, sent: Instant) -> Arc<Self> {
+        let most = node.platform.params.state.txn_ops;
+        let writer = Writer::new(node.store.clone(), record::LEADER, term, most);
+        let model = Model::new(node.config.clone(), term);
+        let reign = Self {
+            term,
+            lease,
+            model: Mutex::new(model),
+            writer,
+            right: Mutex::new(sent),
+            loaded: AtomicBool::new(false),
+            over: AtomicBool::new(false),
+            ended: Notify::new(),
+            kick: Notify::new(),
+            sent: Mutex::default(),
+            node,
+        };
+        reign.renew(sent);
+        Arc::new(reign)
+    }
+
+    /// A touch sent at `sent` succeeded.
+    fn renew(&self, sent: Instant) {
+        let life = self.node.tuning.hold;
+        // Drift of both clocks, and a margin.
+        let sure = life - life / 1000 - Duration::from_millis(50);
+        let mut right = self.right.lock();
+        *right = (*right).max(sent + sure);
+    }
+
+    /// Whether this controller may act as the leader now.
+    pub fn may_act(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed)
+            && !self.over.load(Ordering::Relaxed)
+            && !self.writer.is_over()
+            && Instant::now() < *self.right.lock()
+    }
+
+    /// Whether reports may still be answered, without starts: so that leases
+    /// live through an outage. A successor may meanwhile promise that a
+    /// cancelled job is gone in time, hence the bound.
+    fn may_keep_leases(&self) -> bool {
+        let w = &self.node.platform.params.workers;
+        let grace = w.cancel.saturating_sub(w.lease + Duration::from_secs(4));
+        self.loaded.load(Ordering::Relaxed)
+            && !self.over.load(Ordering::Relaxed)
+            && Instant::now() < *self.right.lock() + grace
+    }
+
+    /// Ends the term here.
+    pub fn end(&self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.writer.end();
+        self.ended.notify_one();
+    }
+
+    /// Leads until the term is over.
+    pub async fn lead(self: Arc<Self>) {
+        let mut tasks = JoinSet::new();
+        tasks.spawn(self.clone().keep_hold());
+        tasks.spawn(self.writer.clone().run());
+        let loading = self.clone();
+        let run = async {
+            let began = Instant::now();
+            while !loading.over.load(Ordering::Relaxed) {
+                match loading.load().await {
+                    Ok(()) => break,
+                    Err(e) => {
+                        info!(error = %e, "can't read the state yet");
+                        sleep(Duration::from_millis(200)).await;
+                    }
+                }
+            }
+            loading.loaded.store(true, Ordering::Relaxed);
+            loading.node.set_role(Role::Leading(loading.clone()));
+            {
+                let m = loading.model.lock();
+                info!(
+                    term = loading.term,
+                    jobs = m.jobs.len(),
+                    machines = m.machines.len(),
+                    took_ms = began.elapsed().as_millis() as u64,
+                    "state loaded"
+                );
+            }
+            let mut loops = JoinSet::new();
+            loops.spawn(loading.clone().watch_inbox());
+            loops.spawn(loading.clone().see_types());
+            loops.spawn(loading.clone().see_machines());
+            loops.spawn(loading.clone().rounds());
+            loops.spawn(loading.clone().keep_fleet());
+            while loops.join_next().await.is_some() {}
+        };
+        tokio::select! {
+            () = run => {}
+            () = self.ended.notified() => {}
+        }
+        self.end();
+        tasks.abort_all();
+        let node = self.node.clone();
+        let lease = self.lease;
+        tokio::spawn(async move {
+            let _ = node.store.end_hold(lease).await;
+        });
+    }
+
+    async fn keep_hold(self: Arc<Self>) {
+        let life = self.node.tuning.hold;
+        loop {
+            let sent = Instant::now();
+            let wait = match self.node.store.touch_hold(self.lease, life / 3).await {
+                Ok(()) => {
+                    self.renew(sent);
+                    life / 5
+                }
+                Err(StoreError::NoHold) => {
+                    info!(term = self.term, "the hold is over");
+                    return self.end();
+                }
+                Err(e) => {
+                    debug!(error = %e, "touch failed");
+                    life / 15
+                }
+            };
+            sleep(wait).await;
+        }
+    }
+
+    // ---- takeover ------------------------------------------------------
+
+    async fn load(&self) -> Result<(), StoreError> {
+        let store = &self.node.store;
+        let (jobs, _) = store.list(record::JOBS).await?;
+        let (bits, _) = store.list(record::BITS).await?;
+        let (machines, _) = store.list(record::MACHINES).await?;
+        let ratios = store.get(record::RATIOS).await?;
+        let types = store.get(record::TYPES).await?;
+        let now = Instant::now();
+        let wall = wall_ms();
+        let mut m = self.model.lock();
+        for item in jobs {
+            self.writer.know(&item.key, item.version);
+            let Ok(r) = serde_json::from_value::<JobRecord>(item.value) else {
+                info!(key = item.key, "an unreadable job record is left alone");
+                continue;
+            };
+            let age = Duration::from_millis(wall.saturating_sub(r.at));
+            m.add_job(r, now.checked_sub(age).unwrap_or(now));
+        }
+        for item in bits {
+            self.writer.know(&item.key, item.version);
+            let name = item.key.trim_start_matches(record::BITS);
+            let parsed = name.split_once('/').and_then(|(j, p)| Some((j.parse().ok()?, p.parse().ok()?)));
+            if let (Some((id, page)), Some(text)) = (parsed, item.value.as_str()) {
+                if let Some(job) = m.jobs.get_mut(&id) {
+                    job.load_page(page, text);
+                }
+            }
+        }
+        for item in machines {
+            self.writer.know(&item.key, item.version);
+            let id: MachineId = item.key.trim_start_matches(record::MACHINES).into();
+            match serde_json::from_value::<MachineRecord>(item.value) {
+                Ok(r) => m.load_machine(id, r, now),
+                Err(_) => info!(key = item.key, "an unreadable machine record is left alone"),
+            }
+        }
+        if let Ok(item) = ratios {
+            self.writer.know(record::RATIOS, item.version);
+            if let Ok(r) = serde_json::from_value(item.value) {
+                m.ratios = r;
+            }
+        }
+        if let Ok(item) = types {
+            self.writer.know(record::TYPES, item.version);
+            if let Ok(t) = serde_json::from_value(item.value) {
+                m.types = t;
+                *self.node.types.lock() = Arc::new(m.types.clone());
+            }
+        }
+        Ok(())
+    }
+
+    // ---- loops ---------------------------------------------------------
+
+    /// Picks up the jobs that followers stored.
+    async fn watch_inbox(self: Arc<Self>) {
+        loop {
+            let Ok((items, revision)) = self.node.store.list(record::INBOX).await else {
+                sleep(Duration::from_millis(300)).await;
+                continue;
+            };
+            let mut since = revision;
+            for i in items {
+                self.clone().pick_up(&i.key, i.version).await;
+            }
+            loop {
+                match self.node.store.watch(record::INBOX, since, Duration::from_secs(20)).await {
+                    Ok(w) => {
+                        since = since.max(w.revision);
+                        for e in w.events {
+                            if let Some(key) = e.put {
+                                self.clone().pick_up(&key, e.version).await;
+                            }
+                        }
+                    }
+                    Err(StoreError::TooOld) => break,
+                    Err(_) => sleep(Duration::from_millis(300)).await,
+                }
+            }
+        }
+    }
+
+    async fn pick_up(self: Arc<Self>, key: &str, version: u64) {
+        let Ok(id) = key.trim_start_matches(record::INBOX).parse::<JobId>() else { return };
+        if !self.ingest(id).await {
+            return;
+        }
+        self.writer.know(key, version);
+        let unit = Unit { changes: vec![(key.to_owned(), None)], absent: Vec::new() };
+        tokio::spawn(async move {
+            let _ = self.writer.commit(unit).await;
+        });
+    }
+
+    /// Reads a job that is not known here. False: it could not be read.
+    async fn ingest(&self, id: JobId) -> bool {
+        if self.model.lock().jobs.contains_key(&id) || self.node.finals.lock().view(id).is_some() {
+            return true;
+        }
+        match self.node.lookup(id).await {
+            Ok(Lookup::Active(r, version)) => {
+                self.adopt(*r, version);
+                true
+            }
+            Ok(_) => true,
+            Err(_) => false,
+        }
+    }
+
+    fn adopt(&self, r: JobRecord, version: u64) {
+        let id = r.spec.id;
+        let now = Instant::now();
+        let age = Duration::from_millis(wall_ms().saturating_sub(r.at));
+        let mut m = self.model.lock();
+        // Between the reading and now it may have become known or finished.
+        if m.jobs.contains_key(&id) || self.node.finals.lock().view(id).is_some() {
+            return;
+        }
+        self.writer.know(&record::job_key(id), version);
+        info!(job = %id, "picked up");
+        m.add_job(r, now.checked_sub(age).unwrap_or(now));
+        drop(m);
+        self.kick.notify_one();
+    }
+
+    async fn see_types(self: Arc<Self>) {
+        loop {
+            let wait = match self.node.cloud.machine_types().await {
+                Ok(types) if !types.is_empty() => {
+                    let known = self.model.lock().types.clone();
+                    if known != types {
+                        let shape = |t: &[crate::wire::MachineType]| {
+                            t.iter().map(|t| (t.name.clone(), t.cpus, t.zones.clone())).collect::<Vec<_>>()
+                        };
+                        let new = shape(&known) != shape(&types);
+                        self.model.lock().types = types.clone();
+                        *self.node.types.lock() = Arc::new(types.clone());
+                        if new {
+                            info!(types = types.len(), "machine types read");
+                            let value = serde_json::to_value(&types).unwrap_or(Value::Null);
+                            if value.to_string().len() < self.node.config.value_bytes {
+                                let changes = vec![(record::TYPES.to_owned(), Some(value))];
+                                let _ = self.writer.commit(Unit { changes, absent: Vec::new() }).await;
+                            }
+                        }
+                        self.kick.notify_one();
+                    }
+                    Duration::from_secs(30)
+                }
+                _ => Duration::from_secs(1),
+            };
+            sleep(wait).await;
+        }
+    }
+
+    async fn see_machines(self: Arc<Self>) {
+        loop {
+            if let Ok(list) = self.node.cloud.machines().await {
+                self.model.lock().listed(&list, Instant::now());
+                self.kick.notify_one();
+            }
+            sleep(Duration::from_secs(4)).await;
+        }
+    }
+
+    async fn keep_fleet(self: Arc<Self>) {
+        loop {
+            sleep(Duration::from_millis(1000)).await;
+            if !self.may_act() {
+                continue;
+            }
+            let wishes = self.model.lock().fleet(Instant::now());
+            for wish in wishes {
+                let reign = self.clone();
+                tokio::spawn(async move { reign.grant(wish).await });
+            }
+        }
+    }
+
+    async fn grant(&self, wish: Wish) {
+        let cloud = &self.node.cloud;
+        match wish {
+            Wish::Rent(rental) => {
+                let mut tries = 0;
+                loop {
+                    if !self.may_act() {
+                        break self.model.lock().rental_failed(&rental, Instant::now());
+                    }
+                    match cloud.rent(&rental).await {
+                        Ok(ids) => {
+                            info!(request = rental.request, got = ids.len(), "rented");
+                            self.model.lock().rental_done(&rental, &ids, Instant::now());
+                            break;
+                        }
+                        // The same request may be sent again.
+                        Err(CloudError::Unanswered | CloudError::Unavailable) if tries < 3 => {
+                            tries += 1;
+                            sleep(Duration::from_millis(500)).await;
+                        }
+                        Err(e) => {
+                            info!(request = rental.request, error = %e, "not rented");
+                            self.model.lock().rental_failed(&rental, Instant::now());
+                            break;
+                        }
+                    }
+                }
+            }
+            Wish::Release(ids) => {
+                let ok = match cloud.release(&ids).await {
+                    Ok(()) => true,
+                    Err(e) => {
+                        info!(?ids, error = %e, "not released yet");
+                        false
+                    }
+                };
+                self.model.lock().release_done(&ids, ok, Instant::now());
+            }
+        }
+        self.kick.notify_one();
+    }
+
+    async fn rounds(self: Arc<Self>) {
+        loop {
+            let _ = timeout(Duration::from_millis(500), self.kick.notified()).await;
+            if self.may_act() {
+                self.round();
+            }
+            sleep(self.node.tuning.plan_pause).await;
+        }
+    }
+
+    fn round(self: &Arc<Self>) {
+        let now = Instant::now();
+        let mut m = self.model.lock();
+        let r = m.plan(now);
+        if r != crate::core::plan::Round::default() {
+            debug!(?r, "round");
+        }
+        let writes = m.take_writes(now);
+        let ids: Vec<MachineId> = m.machines.keys().cloned().collect();
+        let commands: Vec<_> = ids
+            .into_iter()
+            .filter_map(|id| m.command(&id, now).map(|(addr, c)| (id, addr, c)))
+            .collect();
+        drop(m);
+        for w in writes {
+            let reign = self.clone();
+            tokio::spawn(async move { reign.write(w).await });
+        }
+        for (id, addr, c) in commands {
+            let reign = self.clone();
+            tokio::spawn(async move {
+                let outcome = if reign.may_act() {
+                    worker::command(&reign.node.http, &addr, &c).await
+                } else {
+                    Commanded::Unknown
+                };
+                let report = match &outcome {
+                    Commanded::Done(r) | Commanded::Refused(r) => Some(r),
+                    Commanded::Unknown => None,
+                };
+                if let Commanded::Refused(r) = &outcome {
+                    debug!(machine = %id, token = c.token, seen = r.token, session = r.session, "command refused");
+                }
+                reign.model.lock().commanded(&id, report, Instant::now());
+                reign.kick.notify_one();
+            });
+        }
+    }
+
+    async fn write(&self, w: Write) {
+        let unit = w.unit();
+        let result = self.writer.commit(unit).await;
+        if let Err(CommitError::Conflict(keys)) = &result {
+            info!(?keys, "a write met a changed key");
+        }
+        let ok = result.is_ok();
+        if let (true, Write::Final { id, record, .. }) = (ok, &w) {
+            // Before the job leaves the model, so that no answer falls between.
+            self.node.finals.lock().keep(*id, record.state, record.done);
+            info!(job = %id, state = ?record.state, "finished");
+        }
+        self.model.lock().written(&w, ok, Instant::now());
+        self.kick.notify_one();
+    }
+
+    // ---- users ---------------------------------------------------------
+
+    /// A submission.
+    pub async fn submit(self: &Arc<Self>, body: &[u8]) -> Reply {
+        let id = match self.node.id_of(body) {
+            Ok(id) => id,
+            Err(r) => return r,
+        };
+        if let Some(r) = self.known(id) {
+            return r;
+        }
+        let types = self.node.types.lock().clone();
+        let spec = match self.node.judge(body, &types) {
+            Ok(s) => s,
+            // Only an unknown job is judged: a follower may have stored it.
+            Err(bad) => return self.unless_known(id, bad).await,
+        };
+        let rec = JobRecord { spec, at: wall_ms(), cancelled: false, done: String::new() };
+        if !self.node.record_fits(&rec) {
+            let bad = Reply::error(400, "the job's description is too long");
+            return self.unless_known(id, bad).await;
+        }
+        let reign = self.clone();
+        let stored = tokio::spawn(async move { reign.accept(rec).await });
+        match timeout(Duration::from_millis(2500), stored).await {
+            Ok(Ok(Ok(()))) => accepted(id, 201),
+            Ok(Ok(Err(CommitError::Conflict(_)))) => {
+                let other = Reply::later("the job's state can't be read now");
+                self.unless_known(id, other).await
+            }
+            _ => Reply::later("the job can't be stored now"),
+        }
+    }
+
+    async fn accept(&self, rec: JobRecord) -> Result<(), CommitError> {
+        let id = rec.spec.id;
+        let value = serde_json::to_value(&rec).unwrap_or(Value::Null);
+        let key = record::job_key(id);
+        let unit = Unit {
+            changes: vec![(key.clone(), Some(value))],
+            absent: vec![key, record::final_key(id)],
+        };
+        self.writer.commit(unit).await?;
+        let s: &JobSpec = &rec.spec;
+        info!(job = %id, team = s.team, class = s.class, tasks = s.tasks, cpus = s.cpus, "accepted");
+        self.model.lock().add_job(rec, Instant::now());
+        self.kick.notify_one();
+        Ok(())
+    }
+
+    /// The answer for a job known here.
+    fn known(&self, id: JobId) -> Option<Reply> {
+        if !self.may_act() {
+            return Some(Reply::later("leadership is in doubt"));
+        }
+        let active = self.model.lock().view(id);
+        let view = active.or_else(|| self.node.finals.lock().view(id))?;
+        Some(Reply::json(200, &view))
+    }
+
+    async fn unless_known(&self, id: JobId, otherwise: Reply) -> Reply {
+        match self.node.lookup(id).await {
+            Ok(Lookup::Absent) => otherwise,
+            Ok(Lookup::Active(r, version)) => {
+                let reply = view_reply(id, &Lookup::Active(r.clone(), version));
+                self.adopt(*r, version);
+                reply
+            }
+            Ok(l) => view_reply(id, &l),
+            Err(_) => Reply::later("the job's state can't be read now"),
+        }
+    }
+
+    /// A poll.
+    pub async fn poll(&self, id: JobId) -> Reply {
+        match self.known(id) {
+            Some(r) => r,
+            None => self.unless_known(id, Reply::error(404, "no such job")).await,
+        }
+    }
+
+    /// A cancellation.
+    pub async fn cancel(self: &Arc<Self>, id: JobId) -> Reply {
+        if !self.may_act() {
+            return Reply::later("leadership is in doubt");
+        }
+        if !self.ingest(id).await {
+            return Reply::later("the job's state can't be read now");
+        }
+        let reign = self.clone();
+        let work = tokio::spawn(async move { reign.cancel_stored(id).await });
+        match timeout(Duration::from_millis(2500), work).await {
+            Ok(Ok(reply)) => reply,
+            _ => Reply::later("the cancellation can't be stored now"),
+        }
+    }
+
+    async fn cancel_stored(self: Arc<Self>, id: JobId) -> Reply {
+        // A job whose last task is done is about to be stored as done.
+        for _ in 0..100 {
+            let finishing = self.model.lock().jobs.get(&id).is_some_and(|j| j.complete() && !j.cancelled);
+            if !finishing {
+                break;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let record = {
+            let mut m = self.model.lock();
+            match m.jobs.get(&id) {
+                None => {
+                    drop(m);
+                    return match self.node.finals.lock().view(id) {
+                        Some(v) => Reply::json(200, &v),
+                        None => Reply::error(404, "no such job"),
+                    };
+                }
+                Some(j) if j.complete() && !j.cancelled => return Reply::later("the job is ending"),
+                Some(j) if j.cancelled && j.cancel_stored => None,
+                Some(_) => {
+                    m.cancel(id, Instant::now());
+                    m.jobs.get(&id).map(|j| j.record())
+                }
+            }
+        };
+        self.kick.notify_one();
+        if let Some(record) = record {
+            let value = serde_json::to_value(&record).unwrap_or(Value::Null);
+            let unit = Unit { changes: vec![(record::job_key(id), Some(value))], absent: Vec::new() };
+            if self.writer.commit(unit).await.is_err() {
+                return Reply::later("the cancellation can't be stored now");
+            }
+            info!(job = %id, "cancelled");
+            self.model.lock().cancel_stored(id);
+            self.kick.notify_one();
+        }
+        match self.known(id) {
+            Some(r) => r,
+            None => Reply::later("the job's state can't be told now"),
+        }
+    }
+
+    // ---- workers -------------------------------------------------------
+
+    /// The controller that a machine is to report to.
+    fn owner(&self, machine: &MachineId) -> String {
+        let sent = self.sent.lock();
+        let now = Instant::now();
+        let weigh = |host: &String| {
+            let mut h = DefaultHasher::new();
+            (machine, host).hash(&mut h);
+            h.finish()
+        };
+        self.node
+            .connected()
+            .into_iter()
+            .filter(|h| {
+                sent.avoid.get(&(machine.clone(), h.clone())).is_none_or(|t| now.duration_since(*t) > AVOID)
+            })
+            .max_by_key(weigh)
+            .unwrap_or_else(|| self.node.host().to_owned())
+    }
+
+    /// A report that reached the controller `via`.
+    pub fn report(&self, body: &[u8], via: &str) -> Reply {
+        if !self.may_keep_leases() {
+            return Reply::later("leadership is in doubt");
+        }
+        let r: Report = match serde_json::from_slice(body) {
+            Ok(r) => r,
+            Err(e) => return Reply::error(400, &e.to_string()),
+        };
+        let now = Instant::now();
+        let token = {
+            let mut m = self.model.lock();
+            let heard = m.heard(&r, now);
+            let releasing = m.machines.get(&r.machine).is_some_and(|m| m.phase == Phase::Releasing);
+            match heard {
+                Heard::Gone => return Reply::later("this machine was returned"),
+                Heard::Old => return Reply::later("an older report"),
+                Heard::Taken if releasing => return Reply::later("this machine is being returned"),
+                Heard::Taken => {}
+            }
+            m.reply_token(&r.machine, r.token)
+        };
+        self.kick.notify_one();
+        let Some(token) = token else {
+            return Reply::later("a newer leader has spoken to this worker");
+        };
+        if let Some(to) = self.redirect(&r.machine, via, now) {
+            return Node::elsewhere(&to);
+        }
+        Reply::json(200, &ReportReply { token, commands: Vec::new() })
+    }
+
+    fn redirect(&self, machine: &MachineId, via: &str, now: Instant) -> Option<String> {
+        {
+            let mut sent = self.sent.lock();
+            if let Some((to, at)) = sent.to.remove(machine) {
+                if to != via && now.duration_since(at) < Duration::from_secs(15) {
+                    // It was sent there and is back here: it can't reach it.
+                    sent.avoid.insert((machine.clone(), to), now);
+                }
+            }
+        }
+        let owner = self.owner(machine);
+        if owner == via {
+            return None;
+        }
+        self.sent.lock().to.insert(machine.clone(), (owner.clone(), now));
+        Some(owner)
+    }
+}
+
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! bitternfold: a highly available cluster scheduler.
+//!
+//! The parts, each owning one thing: [`settings`] reads what the platform and
+//! the operators say, [`wire`] holds the JSON bodies of the four protocols,
+//! [`store`], [`cloud`] and [`worker`] talk to the outside, [`leader`] owns
+//! the election and the right to act, [`core`] decides (pure, no I/O),
+//! [`api`] serves users and workers, [`peer`] joins the controllers.
+
+pub mod api;
+pub mod cloud;
+pub mod core;
+pub mod http;
+pub mod leader;
+pub mod node;
+pub mod peer;
+pub mod settings;
+pub mod store;
+pub mod wire;
+pub mod worker;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,59 @@
+//! The program: reads its settings and runs one controller until it is killed.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bitternfold::settings::{Platform, Tuning};
+use clap::Parser;
+
+/// A highly available cluster scheduler.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    /// The platform's settings file (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// Operators' own settings (Java-style properties).
+    #[arg(long, value_name = "FILE", env = "BITTERNFOLD_PROPERTIES")]
+    properties: Option<PathBuf>,
+    /// Only check the settings.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let level = match std::env::var("LOG_LEVEL").as_deref() {
+        Ok("debug") => tracing::Level::DEBUG,
+        Ok("error") => tracing::Level::ERROR,
+        _ => tracing::Level::INFO,
+    };
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+    let settings = Platform::load(&args.config)
+        .and_then(|p| Ok((p, args.properties.as_deref().map_or_else(|| Ok(Tuning::default()), Tuning::load)?)));
+    let (platform, tuning) = match settings {
+        Ok(s) => s,
+        Err(e) => {
+            eprintln!("bitternfold: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        println!("settings are in order");
+        return ExitCode::SUCCESS;
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(r) => r,
+        Err(e) => {
+            eprintln!("bitternfold: no runtime: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(bitternfold::leader::run(platform, tuning)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("bitternfold: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,481 @@
+//! One controller: what it knows of the others, and how a request of a user
+//! or a worker finds the one who may answer it.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use parking_lot::Mutex;
+use tracing::{debug, info};
+
+use crate::cloud::Cloud;
+use crate::core::bits::BitSet;
+use crate::core::model::{admissible, Config, Unfit};
+use crate::core::record::{self, FinalRecord, JobRecord};
+use crate::http::Http;
+use crate::leader::reign::Reign;
+use crate::peer::{Ask, Link, Reply};
+use crate::settings::{Platform, Tuning};
+use crate::store::{Store, StoreError};
+use crate::wire::{
+    Change, Guard, JobId, JobSpec, JobView, MachineType, Redirect, Standing, Transaction,
+};
+
+/// Final states kept at hand; the rest is read from the state service.
+const MOST_FINALS: usize = 50_000;
+/// A controller whose link was quiet so long isn't counted as connected.
+const PEER_QUIET: Duration = Duration::from_millis(2500);
+
+/// Who leads, as far as is known here.
+#[derive(Debug, Clone)]
+pub enum Role {
+    /// Not known.
+    Unknown,
+    /// Another.
+    Following {
+        /// Its name.
+        host: String,
+    },
+    /// This one.
+    Leading(Arc<Reign>),
+}
+
+/// Final states of jobs: once known they hold for ever.
+#[derive(Debug, Default)]
+pub struct Finals {
+    map: HashMap<JobId, (Standing, u32)>,
+    order: VecDeque<JobId>,
+}
+
+impl Finals {
+    /// Keeps a final state.
+    pub fn keep(&mut self, id: JobId, state: Standing, done: u32) {
+        if self.map.insert(id, (state, done)).is_none() {
+            self.order.push_back(id);
+            if self.order.len() > MOST_FINALS {
+                if let Some(old) = self.order.pop_front() {
+                    self.map.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// The final state, if at hand.
+    pub fn view(&self, id: JobId) -> Option<JobView> {
+        self.map.get(&id).map(|(state, done)| JobView { id, state: *state, done: *done, running: 0 })
+    }
+}
+
+/// What the state service says of a job.
+#[derive(Debug)]
+pub enum Lookup {
+    /// Not finished.
+    Active(Box<JobRecord>, u64),
+    /// Finished.
+    Final(JobView),
+    /// Never accepted.
+    Absent,
+}
+
+/// A controller.
+#[derive(Debug)]
+pub struct Node {
+    /// The platform's settings.
+    pub platform: Platform,
+    /// The operators' settings.
+    pub tuning: Tuning,
+    /// What the model needs of both.
+    pub config: Arc<Config>,
+    /// Tells this process from its earlier self.
+    pub nonce: u64,
+    /// The state service.
+    pub store: Arc<Store>,
+    /// The cloud.
+    pub cloud: Arc<Cloud>,
+    /// For the workers.
+    pub http: Http,
+    /// Links to the other controllers.
+    pub links: Vec<Arc<Link>>,
+    /// Final states.
+    pub finals: Mutex<Finals>,
+    /// Machine types, once known.
+    pub types: Mutex<Arc<Vec<MachineType>>>,
+    role: Mutex<Role>,
+    term: Mutex<u64>,
+    peers: Mutex<HashMap<String, Instant>>,
+}
+
+/// Milliseconds of the time of day.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// The id in a submission, whatever else is wrong with it.
+fn id_in(body: &[u8]) -> Option<JobId> {
+    #[derive(serde::Deserialize)]
+    struct Only {
+        #[serde(rename = "name_id")]
+        id: JobId,
+    }
+    serde_json::from_slice::<Only>(body).ok().map(|o| o.id)
+}
+
+impl Node {
+    /// A controller that is not running yet.
+    pub fn new(platform: Platform, tuning: Tuning) -> Arc<Self> {
+        let limits = platform.params.state.clone();
+        // The limits of the state service hold for all controllers together.
+        // All but a few requests are the leader's.
+        let http = Http::new(Duration::from_millis(800));
+        let store = Store::new(
+            http.clone(),
+            platform.services.state.to_string(),
+            limits.rps * 0.6,
+            limits.write_rps * 0.7,
+        );
+        let cloud = Cloud::new(http.clone(), platform.services.cloud.to_string(), platform.params.cloud.rps);
+        let links = platform.peers.iter().map(|p| Link::new(p.node.clone(), p.addr)).collect();
+        Arc::new(Self {
+            config: Arc::new(Config::new(&platform, tuning.clone())),
+            nonce: rand::random(),
+            store: Arc::new(store),
+            cloud: Arc::new(cloud),
+            http,
+            links,
+            finals: Mutex::default(),
+            types: Mutex::default(),
+            role: Mutex::new(Role::Unknown),
+            term: Mutex::new(0),
+            peers: Mutex::default(),
+            platform,
+            tuning,
+        })
+    }
+
+    /// This controller's name.
+    pub fn host(&self) -> &str {
+        &self.platform.node
+    }
+
+    // ---- who leads -----------------------------------------------------
+
+    /// Who leads, as far as is known.
+    pub fn role(&self) -> Role {
+        self.role.lock().clone()
+    }
+
+    /// Notes who leads.
+    pub fn set_role(&self, role: Role) {
+        *self.role.lock() = role;
+    }
+
+    /// The highest term known.
+    pub fn known_term(&self) -> u64 {
+        *self.term.lock()
+    }
+
+    /// Notes a term. A leader of an older one steps down.
+    pub fn term_seen(&self, term: u64) {
+        {
+            let mut known = self.term.lock();
+            if term <= *known {
+                return;
+            }
+            *known = term;
+        }
+        let role = self.role();
+        if let Role::Leading(reign) = role {
+            if reign.term < term {
+                info!(term = reign.term, newer = term, "another leads in a newer term");
+                reign.end();
+            }
+        }
+    }
+
+    /// The reign, if this one leads and may act now.
+    fn reign(&self) -> Option<Arc<Reign>> {
+        match self.role() {
+            Role::Leading(r) if r.may_act() => Some(r),
+            _ => None,
+        }
+    }
+
+    /// Another controller's link spoke.
+    pub fn heard_peer(&self, host: &str) {
+        self.peers.lock().insert(host.to_owned(), Instant::now());
+    }
+
+    /// Another controller's link ended.
+    pub fn lost_peer(&self, host: &str) {
+        self.peers.lock().remove(host);
+    }
+
+    /// Controllers connected to this one, itself included.
+    pub fn connected(&self) -> Vec<String> {
+        let peers = self.peers.lock();
+        let mut all: Vec<String> =
+            peers.iter().filter(|(_, t)| t.elapsed() < PEER_QUIET).map(|(h, _)| h.clone()).collect();
+        all.push(self.host().to_owned());
+        all.sort();
+        all
+    }
+
+    async fn ask_leader(&self, ask: Ask, patience: Duration) -> Option<Reply> {
+        let Role::Following { host } = self.role() else { return None };
+        let link = self.links.iter().find(|l| l.host == host)?;
+        link.ask(ask, patience).await.filter(|r| r.status != 0)
+    }
+
+    /// Answers another controller's question.
+    pub async fn answer_peer(&self, from: &str, ask: Ask) -> Reply {
+        if let Ask::Report(body) = ask {
+            return match self.role() {
+                Role::Leading(reign) => reign.report(&body, from),
+                _ => Reply::not_leading(),
+            };
+        }
+        let Some(reign) = self.reign() else { return Reply::not_leading() };
+        match ask {
+            Ask::Submit(body) => reign.submit(&body).await,
+            Ask::Poll(id) => match id.parse() {
+                Ok(id) => reign.poll(id).await,
+                Err(_) => Reply::error(404, "no such job"),
+            },
+            Ask::Cancel(id) => match id.parse() {
+                Ok(id) => reign.cancel(id).await,
+                Err(_) => Reply::error(404, "no such job"),
+            },
+            Ask::Ping { .. } | Ask::Report(_) => Reply::not_leading(),
+        }
+    }
+
+    // ---- users ---------------------------------------------------------
+
+    /// A submission.
+    pub async fn submit(&self, body: &[u8]) -> Reply {
+        if let Some(reign) = self.reign() {
+            return reign.submit(body).await;
+        }
+        if let Some(view) = id_in(body).and_then(|id| self.finals.lock().view(id)) {
+            return Reply::json(200, &view);
+        }
+        let asked = self.ask_leader(Ask::Submit(body.to_vec()), self.tuning.forward).await;
+        match asked {
+            Some(r) if r.status != 503 => r,
+            _ => self.submit_direct(body).await,
+        }
+    }
+
+    /// A poll.
+    pub async fn poll(&self, id: JobId) -> Reply {
+        if let Some(reign) = self.reign() {
+            return reign.poll(id).await;
+        }
+        if let Some(view) = self.finals.lock().view(id) {
+            return Reply::json(200, &view);
+        }
+        let asked = self.ask_leader(Ask::Poll(id.to_string()), self.tuning.forward).await;
+        match asked {
+            Some(r) if r.status != 503 => {
+                self.learn(&r);
+                r
+            }
+            _ => match self.lookup(id).await {
+                Ok(l) => view_reply(id, &l),
+                Err(_) => Reply::later("the job's state can't be read now"),
+            },
+        }
+    }
+
+    /// Keeps a final state that passes by.
+    fn learn(&self, r: &Reply) {
+        if r.status != 200 {
+            return;
+        }
+        if let Ok(v) = serde_json::from_slice::<JobView>(&r.body) {
+            if matches!(v.state, Standing::Done | Standing::Cancelled) {
+                self.finals.lock().keep(v.id, v.state, v.done);
+            }
+        }
+    }
+
+    /// A cancellation. Only the leader can take it.
+    pub async fn cancel(&self, id: JobId) -> Reply {
+        if let Some(reign) = self.reign() {
+            return reign.cancel(id).await;
+        }
+        if let Some(view) = self.finals.lock().view(id) {
+            return Reply::json(200, &view);
+        }
+        let asked = self.ask_leader(Ask::Cancel(id.to_string()), Duration::from_secs(2)).await;
+        match asked {
+            Some(r) if r.status != 503 => {
+                self.learn(&r);
+                r
+            }
+            _ => match self.lookup(id).await {
+                Ok(l @ Lookup::Final(_)) => view_reply(id, &l),
+                Ok(Lookup::Absent) => Reply::error(404, "no such job"),
+                Ok(Lookup::Active(r, _)) if r.cancelled => {
+                    view_reply(id, &Lookup::Active(r, 0))
+                }
+                _ => Reply::later("no leader to cancel it now"),
+            },
+        }
+    }
+
+    /// What the state service says of a job, read afresh. The unfinished ones
+    /// come first: a job moves from there to the finished ones, never back.
+    pub async fn lookup(&self, id: JobId) -> Result<Lookup, StoreError> {
+        let patience = Duration::from_millis(900);
+        if let Ok(item) = self.store.get_within(&record::job_key(id), patience).await? {
+            let r = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
+            return Ok(Lookup::Active(Box::new(r), item.version));
+        }
+        if let Ok(item) = self.store.get_within(&record::final_key(id), patience).await? {
+            let f: FinalRecord = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
+            self.finals.lock().keep(id, f.state, f.done);
+            return Ok(Lookup::Final(JobView { id, state: f.state, done: f.done, running: 0 }));
+        }
+        Ok(Lookup::Absent)
+    }
+
+    /// The machine types, read from the state service if need be.
+    pub async fn known_types(&self) -> Arc<Vec<MachineType>> {
+        let known = self.types.lock().clone();
+        if !known.is_empty() {
+            return known;
+        }
+        if let Ok(Ok(item)) = self.store.get_within(record::TYPES, Duration::from_millis(900)).await {
+            if let Ok(types) = serde_json::from_value::<Vec<MachineType>>(item.value) {
+                *self.types.lock() = Arc::new(types);
+            }
+        }
+        self.types.lock().clone()
+    }
+
+    /// Judges a submission: its job, or the answer.
+    pub fn judge(&self, body: &[u8], types: &[MachineType]) -> Result<JobSpec, Reply> {
+        let spec: JobSpec = serde_json::from_slice(body).map_err(|e| Reply::error(400, &e.to_string()))?;
+        spec.check().map_err(|f| Reply::error(400, &format!("invalid field `{f}`")))?;
+        if !self.config.teams.contains_key(&spec.team) {
+            return Err(Reply::error(422, &Unfit::Team.to_string()));
+        }
+        if types.is_empty() {
+            return Err(Reply::later("the machine types are not known yet"));
+        }
+        admissible(&spec, &self.config.teams, types).map_err(|u| Reply::error(422, &u.to_string()))?;
+        let mut spec = spec;
+        if let Some(list) = &mut spec.types {
+            // Types that don't exist are of no use to anybody.
+            list.retain(|t| types.iter().any(|k| k.name == *t));
+            list.sort();
+            list.dedup();
+        }
+        Ok(spec)
+    }
+
+    /// The id of a submission, or the answer to one that has none.
+    pub fn id_of(&self, body: &[u8]) -> Result<JobId, Reply> {
+        id_in(body).ok_or_else(|| match self.judge(body, &[]) {
+            Err(r) if r.status == 400 => r,
+            _ => Reply::error(400, "malformed id"),
+        })
+    }
+
+    /// Whether the record fits the state service.
+    pub fn record_fits(&self, record: &JobRecord) -> bool {
+        // Room for the done tasks, which are kept beside the description.
+        let done = if BitSet::pages(record.spec.tasks) == 1 { record.spec.tasks.div_ceil(64) * 16 } else { 0 };
+        let spare = done as usize + 64;
+        serde_json::to_vec(record).is_ok_and(|v| v.len() + spare <= self.config.value_bytes)
+    }
+
+    /// Stores a new job without the leader, who finds it by its inbox mark.
+    async fn submit_direct(&self, body: &[u8]) -> Reply {
+        let id = match self.id_of(body) {
+            Ok(id) => id,
+            Err(r) => return r,
+        };
+        // The id comes before the body: a repeat of an accepted job is 200.
+        match self.lookup(id).await {
+            Ok(Lookup::Absent) => {}
+            Ok(l) => return view_reply(id, &l),
+            Err(_) => return Reply::later("the job's state can't be read now"),
+        }
+        let types = self.known_types().await;
+        let spec = match self.judge(body, &types) {
+            Ok(s) => s,
+            Err(r) => return r,
+        };
+        let rec = JobRecord { spec, at: wall_ms(), cancelled: false, done: String::new() };
+        if !self.record_fits(&rec) {
+            return Reply::error(400, "the job's description is too long");
+        }
+        let Ok(value) = serde_json::to_value(&rec) else { return Reply::error(400, "malformed") };
+        let t = Transaction {
+            conditions: vec![
+                Guard { key: record::job_key(id), version: 0 },
+                Guard { key: record::final_key(id), version: 0 },
+            ],
+            changes: vec![
+                Change::Put { put: record::job_key(id), value, lease: None },
+                Change::Put { put: record::inbox_key(id), value: true.into(), lease: None },
+            ],
+        };
+        match self.store.transact(&t, Duration::from_millis(1200)).await {
+            Ok(_) => {
+                debug!(job = %id, "accepted without the leader");
+                accepted(id, 201)
+            }
+            Err(_) => match self.lookup(id).await {
+                Ok(Lookup::Absent) | Err(_) => Reply::later("the job can't be stored now"),
+                Ok(l) => view_reply(id, &l),
+            },
+        }
+    }
+
+    // ---- workers -------------------------------------------------------
+
+    /// A worker's report, relayed to the leader if that is another.
+    pub async fn report(&self, body: &[u8]) -> Reply {
+        match self.role() {
+            Role::Leading(reign) => reign.report(body, self.host()),
+            Role::Following { .. } => self
+                .ask_leader(Ask::Report(body.to_vec()), Duration::from_millis(2500))
+                .await
+                .unwrap_or_else(|| Reply::later("no leader answers")),
+            Role::Unknown => Reply::later("no leader known"),
+        }
+    }
+
+    /// The answer that sends a worker elsewhere.
+    pub fn elsewhere(host: &str) -> Reply {
+        Reply::json(421, &Redirect { report_to: Some(host.to_owned()) })
+    }
+}
+
+/// A submission was accepted.
+pub fn accepted(id: JobId, status: u16) -> Reply {
+    Reply::json(status, &JobView { id, state: Standing::Queued, done: 0, running: 0 })
+}
+
+/// The answer about a job as the state service tells it.
+pub fn view_reply(id: JobId, l: &Lookup) -> Reply {
+    match l {
+        Lookup::Absent => Reply::error(404, "no such job"),
+        Lookup::Final(v) => Reply::json(200, v),
+        Lookup::Active(r, _) => {
+            let mut done = BitSet::new(r.spec.tasks);
+            done.merge_page(0, &r.done);
+            let state = if r.cancelled {
+                Standing::Cancelled
+            } else if done.count() > 0 {
+                Standing::Running
+            } else {
+                Standing::Queued
+            };
+            Reply::json(200, &JobView { id, state, done: done.count(), running: 0 })
+        }
+    }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,263 @@
+//! What the controllers say to each other on `back`: length-prefixed borsh
+//! frames over TCP, questions and answers matched by number.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+use tracing::{debug, info};
+
+use crate::node::Node;
+
+/// Largest frame.
+const MOST_FRAME: usize = 256 * 1024;
+/// Pause between two pings.
+const PING: Duration = Duration::from_millis(500);
+/// A link that says nothing for so long is cut.
+const SILENCE: Duration = Duration::from_millis(2500);
+
+/// A question to another controller.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Ask {
+    /// Are you there? Tells the highest term known here.
+    Ping {
+        /// The term.
+        term: u64,
+    },
+    /// A user's submission.
+    Submit(Vec<u8>),
+    /// A user's poll.
+    Poll(String),
+    /// A user's cancellation.
+    Cancel(String),
+    /// A worker's report.
+    Report(Vec<u8>),
+}
+
+/// An answer, in terms of the HTTP response that it becomes.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Reply {
+    /// Status; 0 where the asked one doesn't lead.
+    pub status: u16,
+    /// When to come back, in seconds.
+    pub retry_after: Option<u16>,
+    /// JSON body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// A response with a JSON body.
+    pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Self {
+        Self { status, retry_after: None, body: serde_json::to_vec(body).unwrap_or_default() }
+    }
+
+    /// An error with a reason.
+    pub fn error(status: u16, reason: &str) -> Self {
+        Self::json(status, &serde_json::json!({ "error": reason }))
+    }
+
+    /// It can't be known or done now; come back in a second.
+    pub fn later(reason: &str) -> Self {
+        Self { retry_after: Some(1), ..Self::error(503, reason) }
+    }
+
+    /// The asked one does not lead.
+    pub fn not_leading() -> Self {
+        Self { status: 0, retry_after: None, body: Vec::new() }
+    }
+}
+
+#[derive(Debug, BorshSerialize, BorshDeserialize)]
+enum Frame {
+    Hello { host: String },
+    Ask { id: u64, ask: Ask },
+    Answer { id: u64, term: u64, reply: Reply },
+}
+
+fn encode(frame: &Frame) -> io::Result<Vec<u8>> {
+    let mut out = vec![0; 4];
+    frame.serialize(&mut out)?;
+    let len = (out.len() - 4) as u32;
+    out[..4].copy_from_slice(&len.to_be_bytes());
+    Ok(out)
+}
+
+async fn read_frame(r: &mut BufReader<OwnedReadHalf>) -> io::Result<Frame> {
+    let len = r.read_u32().await? as usize;
+    if len > MOST_FRAME {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+    }
+    let mut buf = vec![0; len];
+    r.read_exact(&mut buf).await?;
+    borsh::from_slice(&buf)
+}
+
+type Question = (Ask, oneshot::Sender<Reply>);
+
+/// The link to another controller, for questions of ours.
+#[derive(Debug)]
+pub struct Link {
+    /// Its name.
+    pub host: String,
+    addr: SocketAddr,
+    questions: mpsc::Sender<Question>,
+    inbox: Mutex<Option<mpsc::Receiver<Question>>>,
+    heard: Mutex<Option<Instant>>,
+}
+
+impl Link {
+    /// A link that is not connected yet.
+    pub fn new(host: String, addr: SocketAddr) -> Arc<Self> {
+        let (questions, inbox) = mpsc::channel(256);
+        Arc::new(Self { host, addr, questions, inbox: Mutex::new(Some(inbox)), heard: Mutex::new(None) })
+    }
+
+    /// Whether the other side was heard of late.
+    pub fn alive(&self) -> bool {
+        self.heard.lock().is_some_and(|t| t.elapsed() < SILENCE)
+    }
+
+    /// Asks; `None`: no answer in time.
+    pub async fn ask(&self, ask: Ask, patience: Duration) -> Option<Reply> {
+        if !self.alive() {
+            return None;
+        }
+        let (tx, rx) = oneshot::channel();
+        self.questions.try_send((ask, tx)).ok()?;
+        timeout(patience, rx).await.ok()?.ok()
+    }
+
+    /// Keeps the link connected for ever.
+    pub async fn run(self: Arc<Self>, node: Arc<Node>) {
+        let Some(mut inbox) = self.inbox.lock().take() else { return };
+        loop {
+            if let Ok(Ok(stream)) = timeout(Duration::from_secs(1), TcpStream::connect(self.addr)).await {
+                let _ = stream.set_nodelay(true);
+                let end = self.serve(stream, &mut inbox, &node).await;
+                debug!(peer = %self.host, ?end, "link ended");
+            }
+            *self.heard.lock() = None;
+            sleep(Duration::from_millis(300)).await;
+        }
+    }
+
+    async fn serve(
+        &self,
+        stream: TcpStream,
+        inbox: &mut mpsc::Receiver<Question>,
+        node: &Arc<Node>,
+    ) -> io::Result<()> {
+        let (read, mut write) = stream.into_split();
+        let mut read = BufReader::new(read);
+        write.write_all(&encode(&Frame::Hello { host: node.host().to_owned() })?).await?;
+        let pending: Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>> = Arc::default();
+        let mut next = 0u64;
+        let reader = async {
+            loop {
+                let frame = timeout(SILENCE, read_frame(&mut read))
+                    .await
+                    .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+                *self.heard.lock() = Some(Instant::now());
+                if let Frame::Answer { id, term, reply } = frame {
+                    node.term_seen(term);
+                    if let Some(tx) = pending.lock().remove(&id) {
+                        let _ = tx.send(reply);
+                    }
+                }
+            }
+        };
+        let writer = async {
+            loop {
+                let ask = tokio::select! {
+                    q = inbox.recv() => match q {
+                        Some((ask, tx)) => {
+                            pending.lock().retain(|_, t| !t.is_closed());
+                            pending.lock().insert(next, tx);
+                            ask
+                        }
+                        None => return Ok(()),
+                    },
+                    () = sleep(PING) => Ask::Ping { term: node.known_term() },
+                };
+                write.write_all(&encode(&Frame::Ask { id: next, ask })?).await?;
+                next += 1;
+            }
+        };
+        tokio::select! {
+            r = reader => r,
+            r = writer => r,
+        }
+    }
+}
+
+/// Accepts the links of other controllers for ever.
+pub async fn listen(listener: TcpListener, node: Arc<Node>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = node.clone();
+                tokio::spawn(async move {
+                    let _ = stream.set_nodelay(true);
+                    let _ = answer(stream, node).await;
+                });
+            }
+            Err(e) => {
+                info!(error = %e, "can't accept a controller's link");
+                sleep(Duration::from_millis(200)).await;
+            }
+        }
+    }
+}
+
+async fn answer(stream: TcpStream, node: Arc<Node>) -> io::Result<()> {
+    let (read, mut write) = stream.into_split();
+    let mut read = BufReader::new(read);
+    let Frame::Hello { host } = timeout(SILENCE, read_frame(&mut read))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??
+    else {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "no greeting"));
+    };
+    let (tx, mut rx) = mpsc::channel::<Frame>(256);
+    let reader = async {
+        loop {
+            let frame = timeout(SILENCE, read_frame(&mut read))
+                .await
+                .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            node.heard_peer(&host);
+            let Frame::Ask { id, ask } = frame else { continue };
+            if let Ask::Ping { term } = ask {
+                node.term_seen(term);
+                let reply = Reply::not_leading();
+                let _ = tx.try_send(Frame::Answer { id, term: node.known_term(), reply });
+                continue;
+            }
+            let (node, tx, host) = (node.clone(), tx.clone(), host.clone());
+            tokio::spawn(async move {
+                let reply = node.answer_peer(&host, ask).await;
+                let _ = tx.try_send(Frame::Answer { id, term: node.known_term(), reply });
+            });
+        }
+    };
+    let writer = async {
+        while let Some(frame) = rx.recv().await {
+            write.write_all(&encode(&frame)?).await?;
+        }
+        Ok(())
+    };
+    let end: io::Result<()> = tokio::select! {
+        r = reader => r,
+        r = writer => r,
+    };
+    node.lost_peer(&host);
+    end
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,355 @@
+//! What the platform hands over (TOML) and what operators may set themselves
+//! (Java-style properties). Every value is checked; errors name the field.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer};
+
+/// Why the settings can't be used; one line, naming the field.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("{0}: {1}")]
+    Unreadable(String, std::io::Error),
+    /// The file is not valid TOML, or a field has the wrong type.
+    #[error("{file}: field `{field}`: {reason}")]
+    Field {
+        /// The file's path.
+        file: String,
+        /// Dotted path of the field.
+        field: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+fn seconds<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+    let s = f64::deserialize(d)?;
+    Duration::try_from_secs_f64(s).map_err(|_| serde::de::Error::custom("not a duration in seconds"))
+}
+
+fn millis<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+    let ms = f64::deserialize(d)?;
+    Duration::try_from_secs_f64(ms / 1e3)
+        .map_err(|_| serde::de::Error::custom("not a duration in milliseconds"))
+}
+
+/// The settings file of the platform, in the scheduler's own terms.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    /// This controller's name.
+    #[serde(rename = "host_name")]
+    pub node: String,
+    /// The zone it stands in.
+    #[serde(default)]
+    pub zone: String,
+    /// Address for users, workers and health checks.
+    #[serde(rename = "api_addr")]
+    pub listen: SocketAddr,
+    /// Address for the other controllers.
+    #[serde(rename = "back")]
+    pub peer_listen: SocketAddr,
+    /// The other controllers.
+    #[serde(default, rename = "seeds")]
+    pub peers: Vec<Peer>,
+    /// The outside services.
+    pub services: Services,
+    /// What is common to the cluster.
+    #[serde(rename = "cluster")]
+    pub params: Params,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    #[serde(rename = "host_name")]
+    pub node: String,
+    /// Its address for controllers.
+    #[serde(rename = "endpoint")]
+    pub addr: SocketAddr,
+}
+
+/// Addresses of the services.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    /// The cloud's API.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+}
+
+/// Cluster-wide parameters.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    /// Zones that machines may stand in.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// Bound on the error of the time of day.
+    #[serde(default, rename = "clock_error_ms", deserialize_with = "millis")]
+    pub clock_error: Duration,
+    /// The teams with guarantees and limits.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// What the users expect.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Timing of workers.
+    pub workers: Workers,
+    /// Limits of the state service.
+    #[serde(default)]
+    pub state: StateLimits,
+    /// Limits of the cloud.
+    #[serde(default)]
+    pub cloud: CloudLimits,
+}
+
+/// A team; 0 means none, for guarantees and for limits.
+#[derive(Debug, Clone, Deserialize, Default)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most CPUs its tasks may use (0: no limit).
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed accelerators.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most accelerators its tasks may use (0: no limit).
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim on starting or finishing.
+#[derive(Debug, Clone, Deserialize, Default)]
+pub struct Objective {
+    /// `deadline`, `wait`, `finished`, `guarantee`, ...
+    pub kind: String,
+    /// The class of jobs it is about, if any.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Share that is to meet it.
+    #[serde(default)]
+    pub share: Option<f64>,
+    /// Time within which it is met, in seconds.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    /// Multiple of the deadline.
+    #[serde(default)]
+    pub times: Option<f64>,
+}
+
+/// Timing of workers.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    /// Interval of reports.
+    #[serde(rename = "report_s", deserialize_with = "seconds")]
+    pub report: Duration,
+    /// Life of a worker's lease.
+    #[serde(rename = "lease_s", deserialize_with = "seconds")]
+    pub lease: Duration,
+    /// Within this time a cancelled job's tasks must be gone.
+    #[serde(rename = "cancel_s", deserialize_with = "seconds")]
+    pub cancel: Duration,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+pub struct StateLimits {
+    /// Requests a second, over all controllers.
+    pub rps: f64,
+    /// Puts and deletes a second, over all controllers.
+    pub write_rps: f64,
+    /// Largest value, in KiB.
+    pub value_kb: f64,
+    /// Most puts and deletes in a transaction.
+    pub txn_ops: usize,
+}
+
+impl Default for StateLimits {
+    fn default() -> Self {
+        Self { rps: 100.0, write_rps: 20.0, value_kb: 4.0, txn_ops: 8 }
+    }
+}
+
+/// Limits of the cloud.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+pub struct CloudLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// How far the machine list lags.
+    #[serde(rename = "list_lag_s", deserialize_with = "seconds")]
+    pub list_lag: Duration,
+}
+
+impl Default for CloudLimits {
+    fn default() -> Self {
+        Self { rps: 1.0, list_lag: Duration::from_secs(15) }
+    }
+}
+
+impl Platform {
+    /// Reads and checks the file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Unreadable(file.clone(), e))?;
+        Self::parse(&text, &file)
+    }
+
+    /// Parses and checks; `file` is named in errors.
+    pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
+        let fail = |field: String, reason: String| SettingsError::Field {
+            file: file.to_owned(),
+            field,
+            reason: reason.lines().next().unwrap_or_default().to_owned(),
+        };
+        let de = toml::Deserializer::parse(text).map_err(|e| fail("(file)".into(), e.message().into()))?;
+        let got: Platform = serde_path_to_error::deserialize(de).map_err(|e| {
+            let field = e.path().to_string();
+            fail(field, e.inner().message().into())
+        })?;
+        got.check().map_err(|(field, reason)| fail(field, reason))?;
+        Ok(got)
+    }
+
+    fn check(&self) -> Result<(), (String, String)> {
+        let bad = |f: &str, r: &str| Err((f.to_owned(), r.to_owned()));
+        if self.node.is_empty() {
+            return bad("host_name", "must not be empty");
+        }
+        for (i, p) in self.peers.iter().enumerate() {
+            if p.node.is_empty() || p.node == self.node {
+                return bad(&format!("seeds[{i}].host_name"), "must name another controller");
+            }
+        }
+        let positive = |f: &str, v: f64| {
+            if v.is_finite() && v > 0.0 {
+                Ok(())
+            } else {
+                Err((f.to_owned(), "must be above 0".to_owned()))
+            }
+        };
+        let p = &self.params;
+        positive("cluster.workers.report_s", p.workers.report.as_secs_f64())?;
+        positive("cluster.workers.lease_s", p.workers.lease.as_secs_f64())?;
+        positive("cluster.workers.cancel_s", p.workers.cancel.as_secs_f64())?;
+        if p.workers.cancel <= p.workers.lease {
+            return bad("cluster.workers.cancel_s", "must be above lease_s");
+        }
+        positive("cluster.state.rps", p.state.rps)?;
+        positive("cluster.state.write_rps", p.state.write_rps)?;
+        positive("cluster.state.value_kb", p.state.value_kb)?;
+        if p.state.txn_ops < 2 {
+            return bad("cluster.state.txn_ops", "must be at least 2");
+        }
+        positive("cluster.cloud.rps", p.cloud.rps)?;
+        let mut seen = std::collections::HashSet::new();
+        for (i, t) in p.teams.iter().enumerate() {
+            if t.name.is_empty() || !seen.insert(&t.name) {
+                return bad(&format!("cluster.teams[{i}].name"), "must be present once");
+            }
+            for (f, v) in [
+                ("cpus", t.cpus),
+                ("cpus_max", t.cpus_max),
+                ("gpus", t.gpus),
+                ("gpus_max", t.gpus_max),
+            ] {
+                if !v.is_finite() || v < 0.0 {
+                    return bad(&format!("cluster.teams[{i}].{f}"), "must be 0 (none) or more");
+                }
+            }
+        }
+        for (i, o) in p.objectives.iter().enumerate() {
+            if o.share.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
+                return bad(&format!("cluster.objectives[{i}].share"), "must lie in 0 to 1");
+            }
+            if o.within_s.is_some_and(|s| !s.is_finite() || s < 0.0) {
+                return bad(&format!("cluster.objectives[{i}].within_s"), "must be 0 or more");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Operators' own settings, with defaults that suit any deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tuning {
+    /// `leader.hold_ms`: life of the leader's hold at the state service.
+    pub hold: Duration,
+    /// `plan.pause_ms`: least time between two planning rounds.
+    pub plan_pause: Duration,
+    /// `fleet.idle_s`: an idle machine beyond the warm room is returned after this.
+    pub idle: Duration,
+    /// `fleet.silent_s`: a machine silent this long is released for its tasks' sake.
+    pub silent: Duration,
+    /// `fleet.most`: most machines rented at once.
+    pub most_machines: usize,
+    /// `fleet.warm`: free room kept, as a share of the CPUs in use.
+    pub warm: f64,
+    /// `users.forward_ms`: how long a follower waits for the leader's answer.
+    pub forward: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_millis(3000),
+            plan_pause: Duration::from_millis(50),
+            idle: Duration::from_secs(20),
+            silent: Duration::from_secs(9),
+            most_machines: 1000,
+            warm: 0.15,
+            forward: Duration::from_millis(350),
+        }
+    }
+}
+
+impl Tuning {
+    /// Reads and checks a properties file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read(path).map_err(|e| SettingsError::Unreadable(file.clone(), e))?;
+        Self::parse(&text, &file)
+    }
+
+    /// Parses and checks; an unknown key is an error, as it is surely a slip.
+    pub fn parse(text: &[u8], file: &str) -> Result<Self, SettingsError> {
+        let fail = |field: &str, reason: String| SettingsError::Field {
+            file: file.to_owned(),
+            field: field.to_owned(),
+            reason,
+        };
+        let map: HashMap<String, String> =
+            java_properties::read(text).map_err(|e| fail("(file)", e.to_string()))?;
+        let mut t = Self::default();
+        for (key, value) in &map {
+            let number = |lo: f64, hi: f64| {
+                value
+                    .trim()
+                    .parse::<f64>()
+                    .ok()
+                    .filter(|v| (lo..=hi).contains(v))
+                    .ok_or_else(|| fail(key, format!("must be a number from {lo} to {hi}")))
+            };
+            match key.as_str() {
+                "leader.hold_ms" => t.hold = Duration::from_secs_f64(number(500.0, 60_000.0)? / 1e3),
+                "plan.pause_ms" => t.plan_pause = Duration::from_secs_f64(number(1.0, 5_000.0)? / 1e3),
+                "fleet.idle_s" => t.idle = Duration::from_secs_f64(number(0.0, 86_400.0)?),
+                "fleet.silent_s" => t.silent = Duration::from_secs_f64(number(1.0, 600.0)?),
+                "fleet.most" => t.most_machines = number(1.0, 100_000.0)? as usize,
+                "fleet.warm" => t.warm = number(0.0, 10.0)?,
+                "users.forward_ms" => t.forward = Duration::from_secs_f64(number(10.0, 5_000.0)? / 1e3),
+                _ => return Err(fail(key, "is not a known key".into())),
+            }
+        }
+        Ok(t)
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,567 @@
+//! Client of the state service: guarded transactions, holds, watches, a rate
+//! budget, and the leader's group commit.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::sync::{oneshot, Notify};
+use tracing::{debug, info};
+
+use crate::http::{Http, HttpError, Response};
+use crate::wire::{Change, Guard, Hold, Item, Listing, Outcome, Transaction, Watched};
+
+/// Why the state service did not do it.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Refused for now; it was not executed.
+    #[error("state service unavailable")]
+    Unavailable,
+    /// No answer; it may have been executed, or still be.
+    #[error("state service did not answer")]
+    Unanswered,
+    /// Conditions that did not hold.
+    #[error("conditions failed: {0:?}")]
+    Conflict(Vec<String>),
+    /// The hold is over.
+    #[error("no such hold")]
+    NoHold,
+    /// The watched revision is too old.
+    #[error("revision too old")]
+    TooOld,
+    /// It will never be taken.
+    #[error("rejected with status {0}")]
+    Rejected(u16),
+}
+
+/// A budget of so many units a second, with bursts of a second's worth.
+#[derive(Debug)]
+pub struct Pace {
+    rate: f64,
+    burst: f64,
+    state: Mutex<(f64, Instant)>,
+}
+
+impl Pace {
+    /// A full budget.
+    pub fn new(rate: f64, burst: f64) -> Self {
+        Self { rate, burst: burst.max(1.0), state: Mutex::new((burst.max(1.0), Instant::now())) }
+    }
+
+    /// Takes units, and tells how long to wait before going on.
+    pub fn take(&self, units: f64, now: Instant) -> Duration {
+        let mut s = self.state.lock();
+        let refill = now.saturating_duration_since(s.1).as_secs_f64() * self.rate;
+        s.0 = (s.0 + refill).min(self.burst) - units;
+        s.1 = now;
+        if s.0 >= 0.0 {
+            Duration::ZERO
+        } else {
+            Duration::from_secs_f64(-s.0 / self.rate)
+        }
+    }
+
+    /// Takes units once they are due.
+    pub async fn pass(&self, units: f64) {
+        let wait = self.take(units, Instant::now());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+}
+
+/// The client.
+#[derive(Debug)]
+pub struct Store {
+    http: Http,
+    addr: String,
+    requests: Pace,
+    writes: Pace,
+}
+
+/// How long an ordinary request may take.
+const PATIENCE: Duration = Duration::from_millis(1500);
+
+fn parse<T: DeserializeOwned>(r: &Response) -> Result<T, StoreError> {
+    serde_json::from_slice(&r.body).map_err(|_| StoreError::Unanswered)
+}
+
+fn refusal(status: u16) -> StoreError {
+    match status {
+        429 | 503 => StoreError::Unavailable,
+        500..=599 => StoreError::Unanswered,
+        s => StoreError::Rejected(s),
+    }
+}
+
+impl From<HttpError> for StoreError {
+    fn from(e: HttpError) -> Self {
+        match e {
+            HttpError::Unsent => StoreError::Unavailable,
+            HttpError::Unanswered => StoreError::Unanswered,
+        }
+    }
+}
+
+impl Store {
+    /// A client with its share of the limits.
+    pub fn new(http: Http, addr: String, rps: f64, write_rps: f64) -> Self {
+        Self { http, addr, requests: Pace::new(rps, rps), writes: Pace::new(write_rps, write_rps) }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> Result<Response, StoreError> {
+        Ok(self.http.call(method, &self.addr, path, body, timeout).await?)
+    }
+
+    /// Reads a key. `Err(revision)` inside: it does not exist at that revision.
+    pub async fn get(&self, key: &str) -> Result<Result<Item, u64>, StoreError> {
+        self.get_within(key, PATIENCE).await
+    }
+
+    /// [`Store::get`] with a deadline of its own.
+    pub async fn get_within(&self, key: &str, timeout: Duration) -> Result<Result<Item, u64>, StoreError> {
+        self.requests.pass(1.0).await;
+        let r = self.call(Method::GET, &format!("/kv/{key}"), None, timeout).await?;
+        match r.status {
+            200 => Ok(Ok(parse(&r)?)),
+            404 => Ok(Err(parse::<Outcome>(&r)?.revision)),
+            s => Err(refusal(s)),
+        }
+    }
+
+    /// Reads all keys with a prefix, page by page.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), StoreError> {
+        let mut items: Vec<Item> = Vec::new();
+        loop {
+            self.requests.pass(1.0).await;
+            let since = items.last().map(|i| format!("&since={}", i.key)).unwrap_or_default();
+            let path = format!("/kv?starts={prefix}{since}&limit=500");
+            let r = self.call(Method::GET, &path, None, PATIENCE * 2).await?;
+            if r.status != 200 {
+                return Err(refusal(r.status));
+            }
+            let page: Listing = parse(&r)?;
+            let end = page.items.is_empty() || !page.more;
+            items.extend(page.items);
+            if end {
+                return Ok((items, page.revision));
+            }
+        }
+    }
+
+    /// Carries out a transaction; its revision.
+    pub async fn transact(&self, t: &Transaction, timeout: Duration) -> Result<u64, StoreError> {
+        self.requests.pass(1.0).await;
+        if !t.changes.is_empty() {
+            self.writes.pass(t.changes.len() as f64).await;
+        }
+        let body = serde_json::to_vec(t).map_err(|_| StoreError::Rejected(0))?;
+        let r = self.call(Method::POST, "/multi", Some(body), timeout).await?;
+        match r.status {
+            200 => Ok(parse::<Outcome>(&r)?.revision),
+            409 => Err(StoreError::Conflict(parse::<Outcome>(&r)?.failed)),
+            400 if r.body.windows(7).any(|w| w == b"no such") => Err(StoreError::NoHold),
+            s => Err(refusal(s)),
+        }
+    }
+
+    /// Opens a hold.
+    pub async fn open_hold(&self, life: Duration) -> Result<u64, StoreError> {
+        self.requests.pass(1.0).await;
+        let body = format!("{{\"life_ms\":{}}}", life.as_millis()).into_bytes();
+        let r = self.call(Method::POST, "/holds", Some(body), PATIENCE).await?;
+        match r.status {
+            200 => Ok(parse::<Hold>(&r)?.lease),
+            s => Err(refusal(s)),
+        }
+    }
+
+    /// Renews a hold. Not paced: it must not wait behind other requests.
+    pub async fn touch_hold(&self, lease: u64, timeout: Duration) -> Result<(), StoreError> {
+        self.requests.take(1.0, Instant::now());
+        let r = self.call(Method::POST, &format!("/holds/{lease}/touch"), Some(b"{}".to_vec()), timeout).await?;
+        match r.status {
+            200 => Ok(()),
+            404 => Err(StoreError::NoHold),
+            s => Err(refusal(s)),
+        }
+    }
+
+    /// Ends a hold.
+    pub async fn end_hold(&self, lease: u64) -> Result<(), StoreError> {
+        let r = self.call(Method::DELETE, &format!("/holds/{lease}"), None, PATIENCE).await?;
+        match r.status {
+            200 | 404 => Ok(()),
+            s => Err(refusal(s)),
+        }
+    }
+
+    /// Waits for a change of some key with the prefix.
+    pub async fn watch(&self, prefix: &str, since: u64, hold: Duration) -> Result<Watched, StoreError> {
+        self.requests.pass(1.0).await;
+        let path = format!("/watch?starts={prefix}&since={since}&hold_ms={}", hold.as_millis());
+        let r = self.call(Method::GET, &path, None, hold + Duration::from_secs(3)).await?;
+        match r.status {
+            200 => parse(&r),
+            410 => Err(StoreError::TooOld),
+            s => Err(refusal(s)),
+        }
+    }
+}
+
+/// Why a unit was not committed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CommitError {
+    /// The term is over.
+    #[error("no longer the leader")]
+    Deposed,
+    /// Keys that are not as expected.
+    #[error("keys changed by another: {0:?}")]
+    Conflict(Vec<String>),
+}
+
+/// Changes that belong together, guarded by what the leader knows of the keys.
+#[derive(Debug, Default)]
+pub struct Unit {
+    /// Keys and their new values (`None`: to be deleted).
+    pub changes: Vec<(String, Option<Value>)>,
+    /// Keys that must not exist, whether they change or not.
+    pub absent: Vec<String>,
+}
+
+impl Unit {
+    /// Whether it names a key.
+    fn names(&self, busy: &HashSet<String>) -> bool {
+        self.changes.iter().map(|c| &c.0).chain(&self.absent).any(|k| busy.contains(k))
+    }
+}
+
+type Reply = oneshot::Sender<Result<(), CommitError>>;
+
+#[derive(Debug, Default)]
+struct WriterState {
+    versions: HashMap<String, u64>,
+    queue: VecDeque<(Unit, Reply)>,
+    busy: HashSet<String>,
+    in_flight: usize,
+    over: bool,
+}
+
+/// Group commit of one term: units wait while earlier ones are on their way,
+/// then go together in as few transactions as the limits allow. Every
+/// transaction is guarded by the leader's key and by each key it changes, so
+/// that a late copy can't apply.
+#[derive(Debug)]
+pub struct Writer {
+    store: Arc<Store>,
+    term: u64,
+    leader_key: &'static str,
+    most: usize,
+    state: Mutex<WriterState>,
+    wake: Notify,
+}
+
+/// Transactions on their way at once.
+const LANES: usize = 4;
+/// Bytes of values in one transaction, below the protocol's 64 KiB.
+const MOST_BYTES: usize = 48 * 1024;
+
+impl Writer {
+    /// A writer of a term.
+    pub fn new(store: Arc<Store>, leader_key: &'static str, term: u64, most: usize) -> Arc<Self> {
+        Arc::new(Self {
+            store,
+            term,
+            leader_key,
+            most,
+            state: Mutex::new(WriterState::default()),
+            wake: Notify::new(),
+        })
+    }
+
+    /// Makes a key's version known.
+    pub fn know(&self, key: &str, version: u64) {
+        let mut s = self.state.lock();
+        if version == 0 {
+            s.versions.remove(key);
+        } else {
+            s.versions.insert(key.to_owned(), version);
+        }
+    }
+
+    /// Whether the term is over.
+    pub fn is_over(&self) -> bool {
+        self.state.lock().over
+    }
+
+    /// Ends the term: nothing is written any more.
+    pub fn end(&self) {
+        let mut s = self.state.lock();
+        s.over = true;
+        for (_, reply) in s.queue.drain(..) {
+            let _ = reply.send(Err(CommitError::Deposed));
+        }
+        drop(s);
+        self.wake.notify_one();
+    }
+
+    /// Commits a unit; returns once it is stored.
+    pub async fn commit(&self, unit: Unit) -> Result<(), CommitError> {
+        let (reply, answer) = oneshot::channel();
+        {
+            let mut s = self.state.lock();
+            if s.over {
+                return Err(CommitError::Deposed);
+            }
+            s.queue.push_back((unit, reply));
+        }
+        self.wake.notify_one();
+        answer.await.unwrap_or(Err(CommitError::Deposed))
+    }
+
+    /// Sends what is queued until the term is over.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            self.wake.notified().await;
+            if self.is_over() {
+                return;
+            }
+            while let Some(batch) = self.next_batch() {
+                let writer = self.clone();
+                tokio::spawn(async move {
+                    writer.send(batch).await;
+                    writer.wake.notify_one();
+                });
+            }
+        }
+    }
+
+    /// Units that may go together now. Units on the same key stay in order.
+    fn next_batch(&self) -> Option<Vec<(Unit, Reply)>> {
+        let mut s = self.state.lock();
+        if s.in_flight >= LANES || s.over {
+            return None;
+        }
+        let mut batch = Vec::new();
+        let mut held = HashSet::new();
+        let (mut ops, mut guards, mut bytes) = (0, 1, 0);
+        let mut at = 0;
+        while at < s.queue.len() {
+            let unit = &s.queue[at].0;
+            let size: usize = unit.changes.iter().map(|(k, v)| k.len() + weight(v.as_ref())).sum();
+            let fits = ops + unit.changes.len() <= self.most
+                && guards + unit.changes.len() + unit.absent.len() <= self.most * 4
+                && (batch.is_empty() || bytes + size <= MOST_BYTES);
+            if !fits || unit.names(&s.busy) || unit.names(&held) {
+                held.extend(unit.changes.iter().map(|c| c.0.clone()).chain(unit.absent.iter().cloned()));
+                at += 1;
+                continue;
+            }
+            let (unit, reply) = s.queue.remove(at).expect("in range");
+            ops += unit.changes.len();
+            guards += unit.changes.len() + unit.absent.len();
+            bytes += size;
+            held.extend(unit.changes.iter().map(|c| c.0.clone()).chain(unit.absent.iter().cloned()));
+            batch.push((unit, reply));
+        }
+        if batch.is_empty() {
+            return None;
+        }
+        for (unit, _) in &batch {
+            let keys: Vec<String> =
+                unit.changes.iter().map(|c| c.0.clone()).chain(unit.absent.iter().cloned()).collect();
+            s.busy.extend(keys);
+        }
+        s.in_flight += 1;
+        Some(batch)
+    }
+
+    fn transaction(&self, batch: &[(Unit, Reply)]) -> Transaction {
+        let s = self.state.lock();
+        let mut t = Transaction {
+            conditions: vec![Guard { key: self.leader_key.to_owned(), version: self.term }],
+            changes: Vec::new(),
+        };
+        for (unit, _) in batch {
+            for (key, value) in &unit.changes {
+                let fresh = unit.absent.contains(key);
+                let version = if fresh { 0 } else { s.versions.get(key).copied().unwrap_or(0) };
+                t.conditions.push(Guard { key: key.clone(), version });
+                match value {
+                    Some(v) => t.changes.push(Change::Put { put: key.clone(), value: v.clone(), lease: None }),
+                    None if version > 0 => t.changes.push(Change::Delete { delete: key.clone() }),
+                    None => {}
+                }
+            }
+            for key in unit.absent.iter().filter(|k| unit.changes.iter().all(|c| c.0 != **k)) {
+                t.conditions.push(Guard { key: key.clone(), version: 0 });
+            }
+        }
+        t
+    }
+
+    async fn send(&self, mut batch: Vec<(Unit, Reply)>) {
+        let keys: Vec<String> = batch
+            .iter()
+            .flat_map(|(u, _)| u.changes.iter().map(|c| c.0.clone()).chain(u.absent.iter().cloned()))
+            .collect();
+        let mut uncertain = false;
+        while !batch.is_empty() && !self.is_over() {
+            let t = self.transaction(&batch);
+            match self.store.transact(&t, Duration::from_millis(1200)).await {
+                Ok(revision) => {
+                    self.applied(batch, revision);
+                    batch = Vec::new();
+                }
+                Err(StoreError::Conflict(failed)) if failed.iter().any(|k| k == self.leader_key) => {
+                    info!(term = self.term, "a write was refused: another leads");
+                    self.end();
+                }
+                Err(StoreError::Conflict(failed)) => {
+                    if let Some(rest) = self.resolve(batch, failed, uncertain).await {
+                        batch = rest;
+                    } else {
+                        batch = Vec::new();
+                    }
+                    uncertain = false;
+                }
+                Err(StoreError::Unanswered) => {
+                    uncertain = true;
+                    debug!("a write was not answered, trying again");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+                Err(StoreError::Unavailable) => tokio::time::sleep(Duration::from_millis(150)).await,
+                Err(e) => {
+                    info!(error = %e, "a write can't be taken");
+                    for (_, reply) in batch.drain(..) {
+                        let _ = reply.send(Err(CommitError::Conflict(Vec::new())));
+                    }
+                }
+            }
+        }
+        for (_, reply) in batch {
+            let _ = reply.send(Err(CommitError::Deposed));
+        }
+        let mut s = self.state.lock();
+        for k in &keys {
+            s.busy.remove(k);
+        }
+        s.in_flight -= 1;
+    }
+
+    fn applied(&self, batch: Vec<(Unit, Reply)>, revision: u64) {
+        let mut s = self.state.lock();
+        for (unit, reply) in batch {
+            for (key, value) in unit.changes {
+                // Final records are written once; their versions aren't kept.
+                if value.is_some() && !key.starts_with(crate::core::record::FINALS) {
+                    s.versions.insert(key, revision);
+                } else {
+                    s.versions.remove(&key);
+                }
+            }
+            let _ = reply.send(Ok(()));
+        }
+    }
+
+    /// Some key was not as expected: either an earlier, unanswered copy of
+    /// this very transaction applied, or another has written the key. Reads
+    /// the keys to tell. Units whose keys changed under us fail.
+    async fn resolve(
+        &self,
+        batch: Vec<(Unit, Reply)>,
+        failed: Vec<String>,
+        uncertain: bool,
+    ) -> Option<Vec<(Unit, Reply)>> {
+        let mut now: HashMap<String, (u64, Value)> = HashMap::new();
+        let mut wanted: Vec<String> = failed.clone();
+        if uncertain {
+            wanted.extend(batch.iter().flat_map(|(u, _)| u.changes.iter().map(|c| c.0.clone())));
+        }
+        wanted.sort();
+        wanted.dedup();
+        for key in &wanted {
+            loop {
+                if self.is_over() {
+                    return Some(batch);
+                }
+                match self.store.get(key).await {
+                    Ok(Ok(item)) => {
+                        now.insert(key.clone(), (item.version, item.value));
+                        break;
+                    }
+                    Ok(Err(_)) => {
+                        now.insert(key.clone(), (0, Value::Null));
+                        break;
+                    }
+                    Err(_) => tokio::time::sleep(Duration::from_millis(150)).await,
+                }
+            }
+        }
+        if uncertain {
+            let mut revision = None;
+            let ours = batch.iter().flat_map(|(u, _)| &u.changes).all(|(key, value)| {
+                let Some((version, found)) = now.get(key) else { return false };
+                match value {
+                    Some(v) => {
+                        let same = found == v && *revision.get_or_insert(*version) == *version;
+                        same && *version > 0
+                    }
+                    None => *version == 0,
+                }
+            });
+            if let (true, Some(revision)) = (ours, revision) {
+                self.applied(batch, revision);
+                return None;
+            }
+        }
+        let mut rest = Vec::new();
+        {
+            let mut s = self.state.lock();
+            for (key, (version, _)) in &now {
+                if *version == 0 {
+                    s.versions.remove(key);
+                } else {
+                    s.versions.insert(key.clone(), *version);
+                }
+            }
+        }
+        for (unit, reply) in batch {
+            let hit: Vec<String> = unit
+                .changes
+                .iter()
+                .map(|c| &c.0)
+                .chain(&unit.absent)
+                .filter(|k| failed.contains(k))
+                .cloned()
+                .collect();
+            if hit.is_empty() {
+                rest.push((unit, reply));
+            } else {
+                info!(keys = ?hit, "keys were not as expected");
+                let _ = reply.send(Err(CommitError::Conflict(hit)));
+            }
+        }
+        Some(rest)
+    }
+}
+
+fn weight(v: Option<&Value>) -> usize {
+    match v {
+        None => 16,
+        Some(Value::String(s)) => s.len() + 2,
+        Some(Value::Array(a)) => a.iter().map(|v| weight(Some(v)) + 1).sum::<usize>() + 2,
+        Some(Value::Object(o)) => o.iter().map(|(k, v)| k.len() + 4 + weight(Some(v))).sum::<usize>() + 2,
+        Some(_) => 20,
+    }
+}
