--- a/src/api.rs
+++ b/src/api.rs
@@ -15,8 +15,12 @@
 
 fn respond(reply: Reply) -> Response {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    let mut b = warp::http::Response::builder().status(status).header("content-type", "application/json");
-    let retry = reply.retry_after.or((status == StatusCode::SERVICE_UNAVAILABLE).then_some(1));
+    let mut b = warp::http::Response::builder()
+        .status(status)
+        .header("content-type", "application/json");
+    let retry = reply
+        .retry_after
+        .or((status == StatusCode::SERVICE_UNAVAILABLE).then_some(1));
     if let Some(s) = retry {
         b = b.header("retry-after", s);
     }
@@ -45,30 +49,38 @@
     let with = warp::any().map(move || node.clone());
     let body = warp::body::content_length_limit(BODY_LIMIT).and(warp::body::bytes());
 
-    let up = warp::get().and(warp::path!("up")).map(|| respond(Reply::json(200, &serde_json::json!({}))));
-    let submit = warp::post().and(warp::path!("v2" / "runs")).and(body).and(with.clone()).then(
-        |body: Bytes, node: Arc<Node>| async move { respond(node.submit(&body).await) },
-    );
-    let poll = warp::get().and(warp::path!("v2" / "runs" / String)).and(with.clone()).then(
-        |id: String, node: Arc<Node>| async move {
+    let up = warp::get()
+        .and(warp::path!("up"))
+        .map(|| respond(Reply::json(200, &serde_json::json!({}))));
+    let submit = warp::post()
+        .and(warp::path!("v2" / "runs"))
+        .and(body)
+        .and(with.clone())
+        .then(|body: Bytes, node: Arc<Node>| async move { respond(node.submit(&body).await) });
+    let poll = warp::get()
+        .and(warp::path!("v2" / "runs" / String))
+        .and(with.clone())
+        .then(|id: String, node: Arc<Node>| async move {
             // An id that can't be one was never accepted.
             match id.parse::<JobId>() {
                 Ok(id) => respond(node.poll(id).await),
                 Err(_) => respond(Reply::error(404, "no such job")),
             }
-        },
-    );
-    let cancel = warp::post().and(warp::path!("v2" / "runs" / String / "cancel")).and(with.clone()).then(
-        |id: String, node: Arc<Node>| async move {
+        });
+    let cancel = warp::post()
+        .and(warp::path!("v2" / "runs" / String / "cancel"))
+        .and(with.clone())
+        .then(|id: String, node: Arc<Node>| async move {
             match id.parse::<JobId>() {
                 Ok(id) => respond(node.cancel(id).await),
                 Err(_) => respond(Reply::error(404, "no such job")),
             }
-        },
-    );
-    let report = warp::post().and(warp::path!("v1" / "report")).and(body).and(with).then(
-        |body: Bytes, node: Arc<Node>| async move { respond(node.report(&body).await) },
-    );
+        });
+    let report = warp::post()
+        .and(warp::path!("v1" / "report"))
+        .and(body)
+        .and(with)
+        .then(|body: Bytes, node: Arc<Node>| async move { respond(node.report(&body).await) });
     up.or(report)
         .unify()
         .or(poll)
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -38,7 +38,11 @@
 impl Cloud {
     /// A client that stays under `rps`.
     pub fn new(http: Http, addr: String, rps: f64) -> Self {
-        Self { http, addr, pace: Pace::new(rps * 0.85, rps) }
+        Self {
+            http,
+            addr,
+            pace: Pace::new(rps * 0.85, rps),
+        }
     }
 
     async fn call<T: serde::de::DeserializeOwned>(
@@ -52,12 +56,21 @@
     }
 
     /// Sends a request; the body of its 200.
-    async fn send(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Result<bytes::Bytes, CloudError> {
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<bytes::Bytes, CloudError> {
         self.pace.pass(1.0).await;
-        let r = self.http.call(method, &self.addr, path, body, PATIENCE).await.map_err(|e| match e {
-            HttpError::Unsent => CloudError::Unavailable,
-            HttpError::Unanswered => CloudError::Unanswered,
-        })?;
+        let r = self
+            .http
+            .call(method, &self.addr, path, body, PATIENCE)
+            .await
+            .map_err(|e| match e {
+                HttpError::Unsent => CloudError::Unavailable,
+                HttpError::Unanswered => CloudError::Unanswered,
+            })?;
         match r.status {
             200 => Ok(r.body),
             503 if r.body.windows(11).any(|w| w == b"no capacity") => Err(CloudError::NoCapacity),
@@ -69,20 +82,30 @@
 
     /// The machine types on offer.
     pub async fn machine_types(&self) -> Result<Vec<MachineType>, CloudError> {
-        Ok(self.call::<MachineTypes>(Method::GET, "/machine_types", None).await?.types)
+        Ok(self
+            .call::<MachineTypes>(Method::GET, "/machine_types", None)
+            .await?
+            .types)
     }
 
     /// Rents machines.
     pub async fn rent(&self, rental: &Rental) -> Result<Vec<MachineId>, CloudError> {
         let body = serde_json::to_vec(rental).map_err(|_| CloudError::Rejected(0))?;
-        Ok(self.call::<Machines>(Method::POST, "/hosts", Some(body)).await?.machines)
+        Ok(self
+            .call::<Machines>(Method::POST, "/hosts", Some(body))
+            .await?
+            .machines)
     }
 
     /// Gives machines back; once this returns they are gone.
     pub async fn release(&self, machines: &[MachineId]) -> Result<(), CloudError> {
-        let body = serde_json::to_vec(&Machines { machines: machines.to_vec() })
-            .map_err(|_| CloudError::Rejected(0))?;
-        self.send(Method::POST, "/hosts/release", Some(body)).await.map(drop)
+        let body = serde_json::to_vec(&Machines {
+            machines: machines.to_vec(),
+        })
+        .map_err(|_| CloudError::Rejected(0))?;
+        self.send(Method::POST, "/hosts/release", Some(body))
+            .await
+            .map(drop)
     }
 
     /// The (lagging) list of machines.
@@ -90,8 +113,9 @@
         let mut all: Vec<ListedMachine> = Vec::new();
         loop {
             let since = all.last().map(|m| format!("since={}&", m.id)).unwrap_or_default();
-            let page: MachineList =
-                self.call(Method::GET, &format!("/hosts?{since}limit=500"), None).await?;
+            let page: MachineList = self
+                .call(Method::GET, &format!("/hosts?{since}limit=500"), None)
+                .await?;
             let end = page.machines.is_empty() || !page.more;
             all.extend(page.machines);
             if end {
--- a/src/core/bits.rs
+++ b/src/core/bits.rs
@@ -16,7 +16,11 @@
 impl BitSet {
     /// An empty set of numbers below `len`.
     pub fn new(len: u32) -> Self {
-        Self { words: vec![0; len.div_ceil(64) as usize], len, count: 0 }
+        Self {
+            words: vec![0; len.div_ceil(64) as usize],
+            len,
+            count: 0,
+        }
     }
 
     /// A set of all numbers below `len`.
@@ -66,6 +70,14 @@
         Some(i as u32 * 64 + w.trailing_zeros())
     }
 
+    /// The numbers in the set, in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.words.iter().enumerate().flat_map(|(i, w)| {
+            let base = i as u32 * 64;
+            (0..64).filter(move |b| w >> b & 1 == 1).map(move |b| base + b)
+        })
+    }
+
     /// How many pages the set is stored in.
     pub fn pages(len: u32) -> u32 {
         len.div_ceil(PAGE)
@@ -92,8 +104,9 @@
         }
         let from = (page * (PAGE / 64)) as usize;
         for (i, chunk) in text.as_bytes().chunks(16).enumerate() {
-            let Some(word) =
-                std::str::from_utf8(chunk).ok().and_then(|s| u64::from_str_radix(s, 16).ok())
+            let Some(word) = std::str::from_utf8(chunk)
+                .ok()
+                .and_then(|s| u64::from_str_radix(s, 16).ok())
             else {
                 return false;
             };
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -65,8 +65,17 @@
         for (offer, count) in self.to_rent(now) {
             self.fleet.requests += 1;
             let request = format!("r-{}-{}", self.term, self.fleet.requests);
-            info!(request, kind = offer.0, zone = offer.1, spot = offer.2, count, "renting");
-            self.fleet.pending.insert(request.clone(), (offer.clone(), count, now));
+            info!(
+                request,
+                kind = offer.0,
+                zone = offer.1,
+                spot = offer.2,
+                count,
+                "renting"
+            );
+            self.fleet
+                .pending
+                .insert(request.clone(), (offer.clone(), count, now));
             wishes.push(Wish::Rent(Rental {
                 request,
                 machine_type: offer.0,
@@ -108,7 +117,11 @@
             if ok {
                 self.released(id, now);
             } else if let Some(m) = self.machines.get_mut(id) {
-                m.phase = if m.heard.is_some() { Phase::Up } else { Phase::Booting };
+                m.phase = if m.heard.is_some() {
+                    Phase::Up
+                } else {
+                    Phase::Booting
+                };
             }
         }
     }
@@ -163,10 +176,16 @@
         }
         let (mut free, used) = self.room(now);
         let keep = used * self.config.tuning.warm;
-        idle.sort_by(|a, b| self.price(b).total_cmp(&self.price(a)).then(a.idle_since.cmp(&b.idle_since)));
+        idle.sort_by(|a, b| {
+            self.price(b)
+                .total_cmp(&self.price(a))
+                .then(a.idle_since.cmp(&b.idle_since))
+        });
         for m in idle {
             let Some(k) = self.kind_of(m) else { continue };
-            let long = m.idle_since.is_some_and(|t| now.saturating_duration_since(t) > self.config.tuning.idle);
+            let long = m
+                .idle_since
+                .is_some_and(|t| now.saturating_duration_since(t) > self.config.tuning.idle);
             let cpus = self.types[k].cpus;
             if long && free - cpus >= keep {
                 free -= cpus;
@@ -219,7 +238,11 @@
                 gpus: t.gpus,
                 memory: t.memory_gb,
             };
-            for s in m.slots.values().filter(|s| s.takes_room() && s.state != SlotState::Unknown) {
+            for s in m
+                .slots
+                .values()
+                .filter(|s| s.takes_room() && s.state != SlotState::Unknown)
+            {
                 if let Some(s) = &s.spec {
                     b.cpus -= s.cpus;
                     b.gpus -= s.gpus;
@@ -235,7 +258,8 @@
                 }
             }
         }
-        let mut total = self.machines.len() + self.fleet.pending.values().map(|p| p.1 as usize).sum::<usize>();
+        let mut total =
+            self.machines.len() + self.fleet.pending.values().map(|p| p.1 as usize).sum::<usize>();
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         let mut usage = self.usage();
         let mut queue: Vec<_> = self
@@ -247,7 +271,11 @@
         let mut cpus_waiting = 0.0;
         for j in queue {
             let s = &j.spec;
-            let mut left = if j.failed_on.len() >= 3 { 1 } else { j.waiting.count() };
+            let mut left = if j.failed_on.len() >= 3 {
+                1
+            } else {
+                j.waiting.count()
+            };
             if let Some(t) = self.config.teams.get(&s.team) {
                 let u = usage.entry(s.team.clone()).or_default();
                 for (most, used, need) in [(t.cpus_max, u.cpus, s.cpus), (t.gpus_max, u.gpus, s.gpus)] {
@@ -268,7 +296,9 @@
                 }
             }
             while left > 0 && total < self.config.tuning.most_machines {
-                let Some(offer) = self.best_offer(s, left, &wanted, now) else { break };
+                let Some(offer) = self.best_offer(s, left, &wanted, now) else {
+                    break;
+                };
                 let Some(mut b) = self.new_bin(&offer) else { break };
                 total += 1;
                 let before = left;
@@ -301,13 +331,19 @@
         let (_, used) = self.room(now);
         let mut free: f64 = bins.iter().map(|b| b.cpus.max(0.0)).sum();
         let keep = (used + cpus_waiting) * self.config.tuning.warm;
-        let Some(like) = self.jobs.values().filter(|j| !j.cancelled).map(|j| j.spec.clone()).max_by(|a, b| {
-            a.cpus.total_cmp(&b.cpus).then(a.spot.cmp(&b.spot))
-        }) else {
+        let Some(like) = self
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled)
+            .map(|j| j.spec.clone())
+            .max_by(|a, b| a.cpus.total_cmp(&b.cpus).then(a.spot.cmp(&b.spot)))
+        else {
             return;
         };
         while free + EPS < keep && total < self.config.tuning.most_machines {
-            let Some(offer) = self.best_offer(&like, 1, wanted, now) else { break };
+            let Some(offer) = self.best_offer(&like, 1, wanted, now) else {
+                break;
+            };
             let Some(b) = self.new_bin(&offer) else { break };
             free += b.cpus;
             total += 1;
@@ -339,13 +375,25 @@
 
     /// The offer that runs a job's tasks for the least money, among those not
     /// refused of late; spread over the zones.
-    fn best_offer(&self, s: &JobSpec, left: u32, wanted: &BTreeMap<Offer, u32>, now: Instant) -> Option<Offer> {
+    fn best_offer(
+        &self,
+        s: &JobSpec,
+        left: u32,
+        wanted: &BTreeMap<Offer, u32>,
+        now: Instant,
+    ) -> Option<Offer> {
         let mut best: Option<((f64, u32), Offer)> = None;
         for t in self.types.iter().filter(|t| type_allowed(s, t)) {
             let per = |have: f64, need: f64| if need > 0.0 { (have + EPS) / need } else { f64::MAX };
-            let n = per(t.cpus, s.cpus).min(per(t.gpus, s.gpus)).min(per(t.memory_gb, s.memory_gb));
+            let n = per(t.cpus, s.cpus)
+                .min(per(t.gpus, s.gpus))
+                .min(per(t.memory_gb, s.memory_gb));
             let n = n.floor().min(f64::from(left)).max(1.0);
-            let zones = if t.zones.is_empty() { &self.config.zones } else { &t.zones };
+            let zones = if t.zones.is_empty() {
+                &self.config.zones
+            } else {
+                &t.zones
+            };
             for zone in zones.iter().filter(|z| s.zone.as_ref().is_none_or(|w| w == *z)) {
                 for spot in [true, false] {
                     if spot && (!s.spot || t.spot_price <= 0.0) {
@@ -357,7 +405,11 @@
                     }
                     let price = if spot { t.spot_price } else { t.price };
                     let here = self.machines.values().filter(|m| m.zone == *zone).count() as u32
-                        + wanted.iter().filter(|(o, _)| o.1 == *zone).map(|(_, n)| n).sum::<u32>();
+                        + wanted
+                            .iter()
+                            .filter(|(o, _)| o.1 == *zone)
+                            .map(|(_, n)| n)
+                            .sum::<u32>();
                     let score = (price / n, here);
                     if best.as_ref().is_none_or(|(b, _)| score < *b) {
                         best = Some((score, offer));
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -16,7 +16,7 @@
 use super::record::{JobRecord, MachineRecord};
 use crate::settings::{Objective, Team};
 use crate::wire::{
-    Command, CloudState, JobId, JobSpec, JobView, Kind, ListedMachine, MachineId, MachineType, Report,
+    CloudState, Command, JobId, JobSpec, JobView, Kind, ListedMachine, MachineId, MachineType, Report,
     Standing, TaskId, TaskState, Why,
 };
 
@@ -57,7 +57,12 @@
     /// Takes what it needs from the settings.
     pub fn new(p: &crate::settings::Platform, tuning: crate::settings::Tuning) -> Self {
         Self {
-            teams: p.params.teams.iter().map(|t| (t.name.clone(), t.clone())).collect(),
+            teams: p
+                .params
+                .teams
+                .iter()
+                .map(|t| (t.name.clone(), t.clone()))
+                .collect(),
             objectives: p.params.objectives.clone(),
             zones: p.params.zones.clone(),
             report: p.params.workers.report,
@@ -86,19 +91,23 @@
 }
 
 /// Whether a job can ever run, given teams and machine types.
-pub fn admissible(
-    spec: &JobSpec,
-    teams: &HashMap<String, Team>,
-    types: &[MachineType],
-) -> Result<(), Unfit> {
+pub fn admissible(spec: &JobSpec, teams: &HashMap<String, Team>, types: &[MachineType]) -> Result<(), Unfit> {
     let team = teams.get(&spec.team).ok_or(Unfit::Team)?;
     let fits = types.iter().any(|t| {
-        type_allowed(spec, t) && spec.zone.as_ref().is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
+        type_allowed(spec, t)
+            && spec
+                .zone
+                .as_ref()
+                .is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
     });
     if !fits {
         return Err(Unfit::Type);
     }
-    let n = if spec.kind == Kind::Service { f64::from(spec.tasks) } else { 1.0 };
+    let n = if spec.kind == Kind::Array {
+        1.0
+    } else {
+        f64::from(spec.tasks)
+    };
     let over = |need: f64, most: f64| most > 0.0 && need * n > most + EPS;
     if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
         return Err(Unfit::Limit);
@@ -204,7 +213,7 @@
 
     /// All its tasks are done.
     pub fn complete(&self) -> bool {
-        self.spec.kind == Kind::Array && self.done.count() == self.spec.tasks
+        self.spec.kind != Kind::Service && self.done.count() == self.spec.tasks
     }
 
     /// What survives.
@@ -213,13 +222,25 @@
             spec: (*self.spec).clone(),
             at: self.at,
             cancelled: self.cancelled,
-            done: if BitSet::pages(self.spec.tasks) == 1 { self.done.page(0) } else { String::new() },
+            done: if BitSet::pages(self.spec.tasks) == 1 {
+                self.done.page(0)
+            } else {
+                String::new()
+            },
         }
     }
 
+    /// A gang that lost some of its tasks: the rest has to go before it can
+    /// be placed again, whole.
+    pub fn broken_gang(&self) -> bool {
+        self.spec.kind == Kind::Gang && !self.places.is_empty() && self.waiting.count() > 0
+    }
+
     /// When it is due, if it has a deadline.
     pub fn due(&self) -> Option<Instant> {
-        self.spec.deadline_s.map(|s| self.arrival + Duration::from_secs_f64(s))
+        self.spec
+            .deadline_s
+            .map(|s| self.arrival + Duration::from_secs_f64(s))
     }
 
     fn vacate(&mut self, index: u32, machine: &MachineId) {
@@ -519,10 +540,19 @@
     pub fn cancel(&mut self, id: JobId, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.cancelled = true;
-        for (machine, index) in
-            job.places.iter().flat_map(|(i, l)| l.iter().map(move |m| (m.clone(), *i))).collect::<Vec<_>>()
+        for (machine, index) in job
+            .places
+            .iter()
+            .flat_map(|(i, l)| l.iter().map(move |m| (m.clone(), *i)))
+            .collect::<Vec<_>>()
         {
-            self.stop(&machine, TaskId { job: id, index }, Duration::ZERO, now, "cancelled");
+            self.stop(
+                &machine,
+                TaskId { job: id, index },
+                Duration::ZERO,
+                now,
+                "cancelled",
+            );
         }
     }
 
@@ -542,7 +572,12 @@
         } else {
             Standing::Queued
         };
-        Some(JobView { id, state, done: job.done.count(), running })
+        Some(JobView {
+            id,
+            state,
+            done: job.done.count(),
+            running,
+        })
     }
 
     fn running_of(&self, id: JobId, job: &Job) -> u32 {
@@ -566,8 +601,7 @@
     }
 
     /// Places a task: the slot is made, the machine's record is due.
-    pub fn place(&mut self, machine: &MachineId, task: TaskId, backfilled: bool, now: Instant) {
-        let attempt = self.new_attempt();
+    pub fn place(&mut self, machine: &MachineId, task: TaskId, attempt: u64, backfilled: bool, now: Instant) {
         let (Some(job), Some(m)) = (self.jobs.get_mut(&task.job), self.machines.get_mut(machine)) else {
             return;
         };
@@ -596,8 +630,12 @@
 
     /// Asks for a task to be stopped. One that was never started goes at once.
     pub fn stop(&mut self, machine: &MachineId, task: TaskId, grace: Duration, now: Instant, why: &str) {
-        let Some(m) = self.machines.get_mut(machine) else { return };
-        let Some(slot) = m.slots.get_mut(&task) else { return };
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        let Some(slot) = m.slots.get_mut(&task) else {
+            return;
+        };
         if slot.state == SlotState::Placed && slot.start_token == 0 {
             info!(%task, attempt = slot.attempt, machine = %machine, why, "taken back before its start");
             self.drop_slot(machine, task, now);
@@ -613,7 +651,9 @@
 
     /// Removes a slot on evidence; its task waits again unless done.
     fn drop_slot(&mut self, machine: &MachineId, task: TaskId, now: Instant) {
-        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
         if m.slots.remove(&task).is_some() {
             if m.empty() && m.idle_since.is_none() {
                 m.idle_since = Some(now);
@@ -629,7 +669,10 @@
     /// Takes a record that an earlier leader left.
     pub fn load_machine(&mut self, id: MachineId, record: MachineRecord, now: Instant) {
         let floor = self.term << TOKEN_BITS;
-        let m = self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id.clone(), now));
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(id.clone(), now));
         m.addr = record.addr;
         m.machine_type = record.machine_type;
         m.zone = record.zone;
@@ -676,7 +719,10 @@
         if self.gone.contains(&id) {
             return;
         }
-        let m = self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id, now));
+        let m = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(id, now));
         m.machine_type = machine_type.to_owned();
         m.zone = zone.to_owned();
         m.spot = spot;
@@ -694,7 +740,10 @@
             }
             let m = self.machines.entry(l.id.clone()).or_insert_with(|| {
                 let mut m = Machine::new(l.id.clone(), now);
-                if let Some(s) = Duration::try_from_secs_f64(l.age_s).ok().and_then(|a| now.checked_sub(a)) {
+                if let Some(s) = Duration::try_from_secs_f64(l.age_s)
+                    .ok()
+                    .and_then(|a| now.checked_sub(a))
+                {
                     m.since = s;
                 }
                 m
@@ -750,10 +799,15 @@
             return Heard::Gone;
         }
         let term = self.term;
-        let cache_gb = self.types.iter().find(|t| t.name == r.machine_type).map_or(f64::MAX, |t| t.cache_gb);
+        let cache_gb = self
+            .types
+            .iter()
+            .find(|t| t.name == r.machine_type)
+            .map_or(f64::MAX, |t| t.cache_gb);
         if !self.machines.contains_key(&r.machine) {
             info!(machine = %r.machine, "unexpected machine reports, taken over");
-            self.machines.insert(r.machine.clone(), Machine::new(r.machine.clone(), now));
+            self.machines
+                .insert(r.machine.clone(), Machine::new(r.machine.clone(), now));
         }
         let m = self.machines.get_mut(&r.machine).expect("just made");
         if (r.session, r.seq) <= m.newest {
@@ -792,7 +846,10 @@
         // refused. Otherwise the token settles it.
         let mut absent = Vec::new();
         for (task, slot) in &m.slots {
-            let here = r.tasks.iter().any(|t| t.task == *task && t.attempt == slot.attempt);
+            let here = r
+                .tasks
+                .iter()
+                .any(|t| t.task == *task && t.attempt == slot.attempt);
             if here {
                 continue;
             }
@@ -817,8 +874,17 @@
         Heard::Taken
     }
 
-    fn heard_task(&mut self, r: &Report, t: &crate::wire::ReportedTask, term: u64, cache_gb: f64, now: Instant) {
-        let Some(m) = self.machines.get_mut(&r.machine) else { return };
+    fn heard_task(
+        &mut self,
+        r: &Report,
+        t: &crate::wire::ReportedTask,
+        term: u64,
+        cache_gb: f64,
+        now: Instant,
+    ) {
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return;
+        };
         let job = self.jobs.get_mut(&t.task.job);
         if !m.slots.contains_key(&t.task) {
             // On the machine though no record names it: of a job that is over
@@ -845,7 +911,10 @@
             if let Some(job) = self.jobs.get_mut(&t.task.job) {
                 if t.task.index < job.spec.tasks {
                     job.waiting.remove(t.task.index);
-                    job.places.entry(t.task.index).or_default().push(r.machine.clone());
+                    job.places
+                        .entry(t.task.index)
+                        .or_default()
+                        .push(r.machine.clone());
                 }
             }
         }
@@ -930,7 +999,11 @@
     }
 
     fn hold_stray(&mut self, r: &Report, t: &crate::wire::ReportedTask) {
-        let Some(slot) = self.machines.get_mut(&r.machine).and_then(|m| m.slots.get_mut(&t.task)) else {
+        let Some(slot) = self
+            .machines
+            .get_mut(&r.machine)
+            .and_then(|m| m.slots.get_mut(&t.task))
+        else {
             return;
         };
         if slot.attempt == t.attempt {
@@ -944,7 +1017,10 @@
         slot.state = SlotState::Unknown;
         if let Some(job) = self.jobs.get_mut(&t.task.job) {
             job.waiting.remove(t.task.index);
-            job.places.entry(t.task.index).or_default().push(r.machine.clone());
+            job.places
+                .entry(t.task.index)
+                .or_default()
+                .push(r.machine.clone());
         }
     }
 
@@ -978,9 +1054,15 @@
         for (task, slot) in &m.slots {
             if let SlotState::Ended(why) = slot.state {
                 let kept = why != Why::Done
-                    || self.jobs.get(&task.job).is_none_or(|j| j.stored_rev >= slot.outcome_rev);
+                    || self
+                        .jobs
+                        .get(&task.job)
+                        .is_none_or(|j| j.stored_rev >= slot.outcome_rev);
                 if kept {
-                    commands.push(Command::Forget { task: *task, attempt: slot.attempt });
+                    commands.push(Command::Forget {
+                        task: *task,
+                        attempt: slot.attempt,
+                    });
                 }
             }
         }
@@ -994,9 +1076,15 @@
                 }
                 continue;
             };
-            let overdue = slot.stop_at.is_some_and(|t| now > t + grace + Duration::from_secs(2));
+            let overdue = slot
+                .stop_at
+                .is_some_and(|t| now > t + grace + Duration::from_secs(2));
             let grace = if overdue { Duration::ZERO } else { grace };
-            let saves = slot.spec.as_ref().is_some_and(|s| s.checkpoint_s > 0.0 && s.save_s > 0.0) && !grace.is_zero();
+            let saves = slot
+                .spec
+                .as_ref()
+                .is_some_and(|s| s.checkpoint_s > 0.0 && s.save_s > 0.0)
+                && !grace.is_zero();
             if saves {
                 if let Some(s) = &slot.spec {
                     used = (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb);
@@ -1005,7 +1093,11 @@
             if slot.state == SlotState::Saving && !overdue && !grace.is_zero() {
                 continue;
             }
-            commands.push(Command::Stop { task: *task, attempt: slot.attempt, grace_s: grace.as_secs_f64() });
+            commands.push(Command::Stop {
+                task: *task,
+                attempt: slot.attempt,
+                grace_s: grace.as_secs_f64(),
+            });
         }
         let kind = types.iter().find(|t| t.name == m.machine_type);
         let token = m.peek_token(term);
@@ -1030,7 +1122,10 @@
                 used = (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb);
             }
             slot.start_token = token;
-            commands.push(Command::Start { task: *task, attempt: slot.attempt });
+            commands.push(Command::Start {
+                task: *task,
+                attempt: slot.attempt,
+            });
         }
         if commands.is_empty() && !m.probe {
             return None;
@@ -1039,7 +1134,14 @@
         m.commanding = true;
         let token = m.fresh_token(term);
         let session = m.newest.0.max(1);
-        Some((m.addr.clone(), crate::wire::Commands { token, session, commands }))
+        Some((
+            m.addr.clone(),
+            crate::wire::Commands {
+                token,
+                session,
+                commands,
+            },
+        ))
     }
 
     /// A command was answered, or not (`report` is `None`: unknown).
@@ -1048,7 +1150,9 @@
             self.heard(r, now);
         }
         let term = self.term;
-        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
         m.commanding = false;
         if report.is_none() {
             m.probe = true;
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -3,7 +3,6 @@
 //! predicted finish within the reservation, then by priority.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
@@ -46,6 +45,74 @@
     started: Instant,
 }
 
+impl Room {
+    fn fits(&self, s: &JobSpec) -> bool {
+        self.cpus + EPS >= s.cpus && self.gpus + EPS >= s.gpus && self.memory + EPS >= s.memory_gb
+    }
+
+    fn room_for(&self, s: &JobSpec) -> u32 {
+        let per = |have: f64, need: f64| {
+            if need > 0.0 {
+                ((have + EPS) / need).max(0.0)
+            } else {
+                f64::MAX
+            }
+        };
+        let n = per(self.cpus, s.cpus)
+            .min(per(self.gpus, s.gpus))
+            .min(per(self.memory, s.memory_gb));
+        (n as u32).min(self.slots_left as u32)
+    }
+
+    fn claim(&mut self, s: &JobSpec) {
+        self.cpus -= s.cpus;
+        self.gpus -= s.gpus;
+        self.memory -= s.memory_gb;
+        self.slots_left = self.slots_left.saturating_sub(1);
+    }
+
+    fn give_back(&mut self, l: &Load) {
+        self.cpus += l.cpus;
+        self.gpus += l.gpus;
+        self.memory += l.memory;
+    }
+
+    /// Shadow tasks whose end makes room, lowest priority first, and the work
+    /// that is lost with them.
+    fn victims(&self, s: &JobSpec, now: Instant) -> Option<(Duration, Vec<TaskId>)> {
+        let mut shadows: Vec<&Load> = self.load.iter().filter(|l| l.shadow).collect();
+        shadows.sort_by_key(|l| std::cmp::Reverse((l.rank, l.started)));
+        let mut after = self.bare();
+        let (mut lost, mut victims) = (Duration::ZERO, Vec::new());
+        for l in shadows {
+            if after.fits(s) {
+                break;
+            }
+            after.give_back(l);
+            lost += now.saturating_duration_since(l.started);
+            victims.push(l.task);
+        }
+        after.fits(s).then_some((lost, victims))
+    }
+
+    /// The same room, without its load.
+    fn bare(&self) -> Room {
+        Room {
+            load: Vec::new(),
+            machine: self.machine.clone(),
+            zone: self.zone.clone(),
+            ..*self
+        }
+    }
+}
+
+/// Where a task is to go, and what has to stop for it.
+struct Place {
+    at: usize,
+    task: TaskId,
+    victims: Vec<TaskId>,
+}
+
 /// What a team uses.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Usage {
@@ -89,7 +156,9 @@
 
     /// When a slot is predicted to be free.
     fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
-        let Some(spec) = &slot.spec else { return now + Duration::from_secs(1) };
+        let Some(spec) = &slot.spec else {
+            return now + Duration::from_secs(1);
+        };
         let p = self.predict(spec);
         let since = slot.running_since.unwrap_or(now);
         let end = since + p;
@@ -128,7 +197,8 @@
             && !m.cordoned
             && !m.addr.is_empty()
             && m.full_until.is_none_or(|t| t <= now)
-            && m.heard.is_some_and(|h| now.saturating_duration_since(h) < self.config.report * 2)
+            && m.heard
+                .is_some_and(|h| now.saturating_duration_since(h) < self.config.report * 2)
     }
 
     /// Most slots whose names fit a machine's record.
@@ -150,6 +220,7 @@
             return round;
         }
         queue.sort_unstable();
+        self.end_broken_gangs(now);
         let mut p = Planner::new(self, now);
 
         // In order, until the head stalls.
@@ -200,6 +271,31 @@
         round
     }
 
+    /// A gang that lost a task is stopped, to be placed again whole.
+    fn end_broken_gangs(&mut self, now: Instant) {
+        let broken: Vec<(JobId, u32, MachineId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.broken_gang())
+            .flat_map(|(id, j)| {
+                j.places
+                    .iter()
+                    .flat_map(|(i, l)| l.iter().map(|m| (*id, *i, m.clone())))
+            })
+            .collect();
+        for (job, index, machine) in broken {
+            let grace = self.jobs.get(&job).map_or(0.0, |j| j.spec.save_s);
+            let grace = Duration::from_secs_f64(grace);
+            self.stop(
+                &machine,
+                TaskId { job, index },
+                grace,
+                now,
+                "its gang lost a task",
+            );
+        }
+    }
+
     fn all_sunny(&mut self) {
         for s in self.machines.values_mut().flat_map(|m| m.slots.values_mut()) {
             s.backfilled = false;
@@ -243,7 +339,9 @@
         let most = model.slots_per_machine();
         let mut rooms = Vec::new();
         for m in model.machines.values().filter(|m| model.usable(m, now)) {
-            let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else { continue };
+            let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else {
+                continue;
+            };
             let t = &types[kind];
             let mut room = Room {
                 machine: m.id.clone(),
@@ -268,7 +366,11 @@
                     Duration::ZERO
                 };
                 room.load.push(Load {
-                    end: if s.stop.is_some() { now } else { model.predicted_end(s, now) },
+                    end: if s.stop.is_some() {
+                        now
+                    } else {
+                        model.predicted_end(s, now)
+                    },
                     cpus: spec.cpus,
                     gpus: spec.gpus,
                     memory: spec.memory_gb,
@@ -281,7 +383,14 @@
             }
             rooms.push(room);
         }
-        Self { model, now, rooms, usage, types, zones: HashMap::new() }
+        Self {
+            model,
+            now,
+            rooms,
+            usage,
+            types,
+            zones: HashMap::new(),
+        }
     }
 
     /// Keeps as shadow only what the head outranks.
@@ -291,11 +400,14 @@
         }
     }
 
-    /// Whether the team's limit leaves room for one more task.
-    fn within_limit(&self, spec: &JobSpec) -> bool {
-        let Some(team) = self.model.config.teams.get(&spec.team) else { return false };
+    /// Whether the team's limit leaves room for so many more tasks.
+    fn within_limit(&self, spec: &JobSpec, tasks: usize) -> bool {
+        let n = tasks as f64;
+        let Some(team) = self.model.config.teams.get(&spec.team) else {
+            return false;
+        };
         let used = self.usage.get(&spec.team).copied().unwrap_or_default();
-        let ok = |most: f64, used: f64, need: f64| most <= 0.0 || used + need <= most + EPS;
+        let ok = |most: f64, used: f64, need: f64| most <= 0.0 || used + need * n <= most + EPS;
         ok(team.cpus_max, used.cpus, spec.cpus) && ok(team.gpus_max, used.gpus, spec.gpus)
     }
 
@@ -305,7 +417,12 @@
         self.zones.entry(id).or_insert_with(|| {
             let mut zones = BTreeMap::new();
             if let Some(job) = model.jobs.get(&id) {
-                for m in job.places.values().flatten().filter_map(|m| model.machines.get(m)) {
+                for m in job
+                    .places
+                    .values()
+                    .flatten()
+                    .filter_map(|m| model.machines.get(m))
+                {
                     *zones.entry(m.zone.clone()).or_default() += 1;
                 }
             }
@@ -339,54 +456,178 @@
         (spec.spot || !room.spot)
             && type_allowed(spec, &self.types[room.kind])
             && room.slots_left > 0
-            && room.recall.is_none_or(|r| self.now + self.model.predict(spec) < r)
+            && room
+                .recall
+                .is_none_or(|r| self.now + self.model.predict(spec) < r)
     }
 
-    /// Places as many of a job's waiting tasks as fit; with `limit`, only
-    /// where they are predicted to end by then.
+    /// Places as many of a job's waiting tasks as fit, a gang's all or none;
+    /// with `limit`, only where they are predicted to end by then.
     fn place_all(&mut self, id: JobId, backfill: bool, limit: Option<Instant>, count: &mut u32) -> Tried {
         loop {
-            match self.place_one(id, backfill, limit) {
-                Some(Tried::Placed) => *count += 1,
-                Some(other) => return other,
-                None => return Tried::Placed,
+            let Some(batch) = self.next_batch(id) else {
+                return Tried::Placed;
+            };
+            if self.barred(id, batch.len()) {
+                return Tried::Barred;
             }
+            let Some(places) = self.find(id, &batch, limit, false) else {
+                return Tried::NoRoom;
+            };
+            *count += places.len() as u32;
+            self.take(places, backfill, id);
         }
     }
 
-    /// `None`: nothing of the job waits.
-    fn place_one(&mut self, id: JobId, backfill: bool, limit: Option<Instant>) -> Option<Tried> {
+    /// Stops shadow tasks if that starts the head's next task (a gang: all of
+    /// them) at once; lowest priority first, where the least work is lost.
+    fn preempt_for(&mut self, head: JobId, round: &mut Round) -> bool {
+        let Some(batch) = self.next_batch(head) else {
+            return false;
+        };
+        if self.barred(head, batch.len()) {
+            return false;
+        }
+        let Some(places) = self.find(head, &batch, None, true) else {
+            return false;
+        };
+        round.preempted += places.iter().map(|p| p.victims.len() as u32).sum::<u32>();
+        round.in_order += places.len() as u32;
+        self.take(places, false, head);
+        true
+    }
+
+    /// What is to be placed together: one task, or all of a gang.
+    fn next_batch(&self, id: JobId) -> Option<Vec<u32>> {
+        let job = self.model.jobs.get(&id)?;
+        let first = job.waiting.first()?;
+        Some(if job.spec.kind == Kind::Gang {
+            job.waiting.iter().collect()
+        } else {
+            vec![first]
+        })
+    }
+
+    /// Whether its own state or its team's limit forbids so many tasks now.
+    fn barred(&self, id: JobId, tasks: usize) -> bool {
+        let Some(job) = self.model.jobs.get(&id) else {
+            return true;
+        };
+        job.cancelled
+            || job.broken_gang()
+            || job.pause_until.is_some_and(|t| t > self.now)
+            // A job that failed on several machines is tried on one at a time.
+            || (job.failed_on.len() >= 3 && !job.places.is_empty())
+            || !self.within_limit(&job.spec, tasks)
+    }
+
+    /// Finds places for tasks of a job, without taking them.
+    fn find(
+        &mut self,
+        id: JobId,
+        batch: &[u32],
+        limit: Option<Instant>,
+        preempt: bool,
+    ) -> Option<Vec<Place>> {
         let job = self.model.jobs.get(&id)?;
-        let index = job.waiting.first()?;
-        let spec: Arc<JobSpec> = job.spec.clone();
-        if job.cancelled || job.pause_until.is_some_and(|t| t > self.now) {
-            return Some(Tried::Barred);
+        let spec = job.spec.clone();
+        let mut zones = self.zone_rule(&spec);
+        let unbound = spec.one_zone && zones.as_ref().is_some_and(BTreeMap::is_empty);
+        if batch.len() == 1 && !unbound {
+            let task = TaskId {
+                job: id,
+                index: batch[0],
+            };
+            return self
+                .find_one(&self.rooms, &spec, task, zones.as_ref(), limit, preempt)
+                .map(|p| vec![p]);
         }
-        // A job that failed on several machines is tried on one at a time.
-        if job.failed_on.len() >= 3 && !job.places.is_empty() {
-            return Some(Tried::Barred);
+        // A job bound to one zone takes the one with the most room for it.
+        let mut tries: Vec<Option<String>> = vec![None];
+        if unbound {
+            let mut room_in: BTreeMap<&String, u32> = BTreeMap::new();
+            for r in self.rooms.iter().filter(|r| self.machine_allowed(&spec, r)) {
+                *room_in.entry(&r.zone).or_default() += r.room_for(&spec);
+            }
+            let mut by_room: Vec<_> = room_in.into_iter().collect();
+            by_room.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+            tries = by_room.into_iter().map(|(z, _)| Some(z.clone())).collect();
         }
-        if !self.within_limit(&spec) {
-            return Some(Tried::Barred);
+        for only in tries {
+            let mut rooms = self.rooms.clone();
+            if let Some(z) = &only {
+                rooms
+                    .iter_mut()
+                    .filter(|r| r.zone != *z)
+                    .for_each(|r| r.slots_left = 0);
+            }
+            let mut found = Vec::new();
+            let mut counts = zones.take();
+            for index in batch {
+                let task = TaskId {
+                    job: id,
+                    index: *index,
+                };
+                let Some(p) = self.find_one(&rooms, &spec, task, counts.as_ref(), limit, preempt) else {
+                    break;
+                };
+                let room = &mut rooms[p.at];
+                for v in &p.victims {
+                    if let Some(i) = room.load.iter().position(|l| l.task == *v) {
+                        let l = room.load.remove(i);
+                        room.give_back(&l);
+                    }
+                }
+                room.claim(&spec);
+                if let Some(c) = &mut counts {
+                    *c.entry(room.zone.clone()).or_default() += 1;
+                }
+                found.push(p);
+            }
+            if found.len() == batch.len() {
+                return Some(found);
+            }
+            zones = self.zone_rule(&spec);
         }
-        let failed_on = job.failed_on.clone();
-        let task = TaskId { job: id, index };
-        let zones = self.zone_rule(&spec);
-        let run = self.model.predict(&spec);
-        let mut best: Option<((bool, u8, bool, f64, f64), usize)> = None;
-        for (at, room) in self.rooms.iter().enumerate() {
-            if room.cpus + EPS < spec.cpus
-                || room.gpus + EPS < spec.gpus
-                || room.memory + EPS < spec.memory_gb
-                || !self.machine_allowed(&spec, room)
-                || !Self::zone_allowed(&spec, zones.as_ref(), &room.zone)
+        None
+    }
+
+    /// The best machine for a task; with `preempt`, counting what its shadow
+    /// tasks would give back.
+    fn find_one(
+        &self,
+        rooms: &[Room],
+        spec: &JobSpec,
+        task: TaskId,
+        zones: Option<&BTreeMap<String, u32>>,
+        limit: Option<Instant>,
+        preempt: bool,
+    ) -> Option<Place> {
+        let job = self.model.jobs.get(&task.job)?;
+        let run = self.model.predict(spec);
+        let mut best: Option<((Duration, bool, u8, bool, f64, f64), Place)> = None;
+        for (at, room) in rooms.iter().enumerate() {
+            let free = room.fits(spec);
+            if !(free || preempt)
+                || !self.machine_allowed(spec, room)
+                || !Self::zone_allowed(spec, zones, &room.zone)
             {
                 continue;
             }
-            let Some(m) = self.model.machines.get(&room.machine) else { continue };
+            let Some(m) = self.model.machines.get(&room.machine) else {
+                continue;
+            };
             if m.slots.contains_key(&task) {
                 continue;
             }
+            let (lost, victims) = if free {
+                (Duration::ZERO, Vec::new())
+            } else {
+                match room.victims(spec, self.now) {
+                    Some(v) => v,
+                    None => continue,
+                }
+            };
             let cached = m.has_image(&spec.image);
             let kind = &self.types[room.kind];
             let fetch = if cached || kind.fetch_gb_per_s <= 0.0 {
@@ -397,104 +638,65 @@
             if limit.is_some_and(|l| self.now + run + fetch > l) {
                 continue;
             }
-            let failed = failed_on.contains(&m.id);
+            let failed = job.failed_on.contains(&m.id);
             let price = if room.spot { kind.spot_price } else { kind.price } / kind.cpus.max(1.0);
             // Spot first, for what it costs, then the fullest machine.
-            let score = (failed, u8::from(!cached), !room.spot, price, room.cpus - spec.cpus);
+            let score = (
+                lost,
+                failed,
+                u8::from(!cached),
+                !room.spot,
+                price,
+                room.cpus - spec.cpus,
+            );
             if best.as_ref().is_none_or(|(b, _)| score < *b) {
-                best = Some((score, at));
+                best = Some((score, Place { at, task, victims }));
             }
         }
-        let Some((_, at)) = best else { return Some(Tried::NoRoom) };
-        self.take(at, &spec, task, backfill);
-        Some(Tried::Placed)
+        best.map(|(_, p)| p)
     }
 
-    fn take(&mut self, at: usize, spec: &Arc<JobSpec>, task: TaskId, backfill: bool) {
-        let end = self.now + self.model.predict(spec);
-        let rank = self.model.jobs.get(&task.job).map(rank);
-        let room = &mut self.rooms[at];
-        room.cpus -= spec.cpus;
-        room.gpus -= spec.gpus;
-        room.memory -= spec.memory_gb;
-        room.slots_left = room.slots_left.saturating_sub(1);
-        room.load.push(Load {
-            end,
-            cpus: spec.cpus,
-            gpus: spec.gpus,
-            memory: spec.memory_gb,
-            shadow: false,
-            rank,
-            task,
-            grace: Duration::ZERO,
-            started: self.now,
-        });
-        let u = self.usage.entry(spec.team.clone()).or_default();
-        u.cpus += spec.cpus;
-        u.gpus += spec.gpus;
-        let (machine, zone) = (room.machine.clone(), room.zone.clone());
-        if spec.one_zone || spec.spread {
-            *self.zones_of(task.job).entry(zone).or_default() += 1;
-        }
-        self.model.place(&machine, task, backfill, self.now);
-    }
-
-    /// Stops shadow tasks on one machine if that starts a task of the head at
-    /// once; lowest priority first, where the least work is lost.
-    fn preempt_for(&mut self, head: JobId, round: &mut Round) -> bool {
-        let Some(job) = self.model.jobs.get(&head) else { return false };
-        let Some(index) = job.waiting.first() else { return false };
-        let spec = job.spec.clone();
-        let task = TaskId { job: head, index };
-        if !self.within_limit(&spec) {
-            return false;
-        }
-        let zones = self.zone_rule(&spec);
-        let mut best: Option<(Duration, usize, Vec<usize>)> = None;
-        for (at, room) in self.rooms.iter().enumerate() {
-            if !self.machine_allowed(&spec, room)
-                || !Self::zone_allowed(&spec, zones.as_ref(), &room.zone)
-                || self.model.machines.get(&room.machine).is_none_or(|m| m.slots.contains_key(&task))
-            {
-                continue;
-            }
-            let mut shadows: Vec<usize> = (0..room.load.len()).filter(|i| room.load[*i].shadow).collect();
-            shadows.sort_by_key(|i| std::cmp::Reverse((room.load[*i].rank, room.load[*i].started)));
-            let (mut c, mut g, mut mem) = (room.cpus, room.gpus, room.memory);
-            let mut victims = Vec::new();
-            let mut lost = Duration::ZERO;
-            for i in shadows {
-                if c + EPS >= spec.cpus && g + EPS >= spec.gpus && mem + EPS >= spec.memory_gb {
-                    break;
+    fn take(&mut self, places: Vec<Place>, backfill: bool, id: JobId) {
+        let Some(job) = self.model.jobs.get(&id) else {
+            return;
+        };
+        let (spec, rank) = (job.spec.clone(), rank(job));
+        let end = self.now + self.model.predict(&spec);
+        // Tasks of a gang know each other by their common attempt.
+        let attempt = self.model.new_attempt();
+        for p in places {
+            let machine = self.rooms[p.at].machine.clone();
+            for v in &p.victims {
+                let room = &mut self.rooms[p.at];
+                if let Some(i) = room.load.iter().position(|l| l.task == *v) {
+                    let l = room.load.remove(i);
+                    room.give_back(&l);
+                    let why = format!("shadow of {id}");
+                    self.model.stop(&machine, l.task, l.grace, self.now, &why);
                 }
-                let l = &room.load[i];
-                c += l.cpus;
-                g += l.gpus;
-                mem += l.memory;
-                lost += self.now.saturating_duration_since(l.started);
-                victims.push(i);
             }
-            let fits = c + EPS >= spec.cpus && g + EPS >= spec.gpus && mem + EPS >= spec.memory_gb;
-            if fits && best.as_ref().is_none_or(|(b, _, _)| lost < *b) {
-                best = Some((lost, at, victims));
+            let room = &mut self.rooms[p.at];
+            room.claim(&spec);
+            room.load.push(Load {
+                end,
+                cpus: spec.cpus,
+                gpus: spec.gpus,
+                memory: spec.memory_gb,
+                shadow: false,
+                rank: Some(rank),
+                task: p.task,
+                grace: Duration::ZERO,
+                started: self.now,
+            });
+            let zone = room.zone.clone();
+            let u = self.usage.entry(spec.team.clone()).or_default();
+            u.cpus += spec.cpus;
+            u.gpus += spec.gpus;
+            if spec.one_zone || spec.spread {
+                *self.zones_of(id).entry(zone).or_default() += 1;
             }
+            self.model.place(&machine, p.task, attempt, backfill, self.now);
         }
-        let Some((_, at, mut victims)) = best else { return false };
-        victims.sort_unstable_by(|a, b| b.cmp(a));
-        let machine = self.rooms[at].machine.clone();
-        for i in victims {
-            let room = &mut self.rooms[at];
-            let l = room.load.remove(i);
-            room.cpus += l.cpus;
-            room.gpus += l.gpus;
-            room.memory += l.memory;
-            round.preempted += 1;
-            let why = format!("shadow of {head}");
-            self.model.stop(&machine, l.task, l.grace, self.now, &why);
-        }
-        self.take(at, &spec, task, false);
-        round.in_order += 1;
-        true
     }
 
     /// When the head's next task is predicted to fit, counting sunny load
@@ -504,27 +706,22 @@
         job.waiting.first()?;
         let spec = job.spec.clone();
         let zones = self.zone_rule(&spec);
-        let mut best: Option<Instant> = None;
+        let mut best = None;
         for room in &self.rooms {
             if !self.machine_allowed(&spec, room) || !Self::zone_allowed(&spec, zones.as_ref(), &room.zone) {
                 continue;
             }
-            let (mut c, mut g, mut mem) = (room.cpus, room.gpus, room.memory);
-            for l in room.load.iter().filter(|l| l.shadow) {
-                c += l.cpus;
-                g += l.gpus;
-                mem += l.memory;
-            }
+            let mut after = room.bare();
+            room.load
+                .iter()
+                .filter(|l| l.shadow)
+                .for_each(|l| after.give_back(l));
             let mut sunny: Vec<&Load> = room.load.iter().filter(|l| !l.shadow).collect();
             sunny.sort_by_key(|l| l.end);
             for l in sunny {
-                c += l.cpus;
-                g += l.gpus;
-                mem += l.memory;
-                if c + EPS >= spec.cpus && g + EPS >= spec.gpus && mem + EPS >= spec.memory_gb {
-                    if best.is_none_or(|b| l.end < b) {
-                        best = Some(l.end);
-                    }
+                after.give_back(l);
+                if after.fits(&spec) {
+                    best = Some(best.map_or(l.end, |b: Instant| b.min(l.end)));
                     break;
                 }
             }
--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -64,12 +64,15 @@
                 vec![(record::machine_key(id), put(serde_json::to_value(record)))]
             }
             Write::NoMachine { id } => vec![(record::machine_key(id), None)],
-            Write::Job { id, record: Some(r), .. } => {
+            Write::Job {
+                id, record: Some(r), ..
+            } => {
                 vec![(record::job_key(*id), put(serde_json::to_value(r)))]
             }
-            Write::Job { id, pages, .. } => {
-                pages.iter().map(|(p, t)| (record::bits_key(*id, *p), Some(t.as_str().into()))).collect()
-            }
+            Write::Job { id, pages, .. } => pages
+                .iter()
+                .map(|(p, t)| (record::bits_key(*id, *p), Some(t.as_str().into())))
+                .collect(),
             Write::Final { id, record, pages } => {
                 let mut c = vec![
                     (record::job_key(*id), None),
@@ -80,7 +83,10 @@
             }
             Write::Ratios(r) => vec![(record::RATIOS.to_owned(), put(serde_json::to_value(r)))],
         };
-        Unit { changes, absent: Vec::new() }
+        Unit {
+            changes,
+            absent: Vec::new(),
+        }
     }
 }
 
@@ -92,7 +98,11 @@
             // A machine whose type isn't known holds nothing yet.
             if m.rev > m.stored_rev && !m.writing && !m.machine_type.is_empty() {
                 m.writing = true;
-                out.push(Write::Machine { id: id.clone(), rev: m.rev, record: m.record() });
+                out.push(Write::Machine {
+                    id: id.clone(),
+                    rev: m.rev,
+                    record: m.record(),
+                });
             }
         }
         for id in std::mem::take(&mut self.dead_records) {
@@ -127,19 +137,36 @@
             let pages = BitSet::pages(job.spec.tasks);
             out.push(Write::Final {
                 id: *id,
-                record: FinalRecord { state, done: job.done.count() },
-                pages: if pages > 1 { pages.min(most_pages as u32) } else { 0 },
+                record: FinalRecord {
+                    state,
+                    done: job.done.count(),
+                },
+                pages: if pages > 1 {
+                    pages.min(most_pages as u32)
+                } else {
+                    0
+                },
             });
         }
         for (team, r) in learned {
             self.ratios.insert(team, r);
             self.ratios_dirty = true;
         }
-        if self.ratios_dirty && self.ratios_written.is_none_or(|t| now >= t + Duration::from_secs(3)) {
+        if self.ratios_dirty
+            && self
+                .ratios_written
+                .is_none_or(|t| now >= t + Duration::from_secs(3))
+        {
             self.ratios_dirty = false;
             self.ratios_written = Some(now);
             let fits = self.config.value_bytes / 64;
-            out.push(Write::Ratios(self.ratios.iter().take(fits).map(|(k, v)| (k.clone(), *v)).collect()));
+            out.push(Write::Ratios(
+                self.ratios
+                    .iter()
+                    .take(fits)
+                    .map(|(k, v)| (k.clone(), *v))
+                    .collect(),
+            ));
         }
         out
     }
@@ -186,7 +213,12 @@
 fn job_write(id: JobId, job: &mut Job, most_pages: usize) -> Write {
     if BitSet::pages(job.spec.tasks) == 1 {
         job.dirty_pages.clear();
-        return Write::Job { id, rev: job.rev, record: Some(Box::new(job.record())), pages: Vec::new() };
+        return Write::Job {
+            id,
+            rev: job.rev,
+            record: Some(Box::new(job.record())),
+            pages: Vec::new(),
+        };
     }
     let some: Vec<u32> = job.dirty_pages.iter().take(most_pages).copied().collect();
     let pages = some
@@ -196,13 +228,18 @@
             (p, job.done.page(p))
         })
         .collect();
-    Write::Job { id, rev: job.rev, record: None, pages }
+    Write::Job {
+        id,
+        rev: job.rev,
+        record: None,
+        pages,
+    }
 }
 
 /// The run-to-estimate ratio of a finished job. Only what ended `done` counts,
 /// never errors or stops: a job that fails at once says nothing of run times.
 fn ratio(job: &Job) -> Option<f64> {
-    if job.spec.kind != Kind::Array || job.spec.estimate_s <= 0.0 || job.run_count == 0 {
+    if job.spec.kind == Kind::Service || job.spec.estimate_s <= 0.0 || job.run_count == 0 {
         return None;
     }
     let mean = job.run_sum.as_secs_f64() / f64::from(job.run_count);
--- a/src/http.rs
+++ b/src/http.rs
@@ -85,6 +85,8 @@
                 .to_bytes();
             Ok(Response { status, body })
         };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Unanswered))
+        tokio::time::timeout(timeout, exchange)
+            .await
+            .unwrap_or(Err(HttpError::Unanswered))
     }
 }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -72,7 +72,9 @@
 async fn follow(node: &Arc<Node>, leader: &LeaderRecord, version: u64) {
     info!(leader = leader.host, term = version, "following");
     node.term_seen(version);
-    node.set_role(Role::Following { host: leader.host.clone() });
+    node.set_role(Role::Following {
+        host: leader.host.clone(),
+    });
     node.known_types().await;
     let mut since = version;
     loop {
@@ -105,11 +107,23 @@
             return sleep(Duration::from_millis(200)).await;
         }
     };
-    let record = LeaderRecord { host: node.host().to_owned(), nonce: node.nonce };
-    let Ok(value) = serde_json::to_value(&record) else { return };
+    let record = LeaderRecord {
+        host: node.host().to_owned(),
+        nonce: node.nonce,
+    };
+    let Ok(value) = serde_json::to_value(&record) else {
+        return;
+    };
     let t = Transaction {
-        conditions: vec![Guard { key: LEADER.into(), version }],
-        changes: vec![Change::Put { put: LEADER.into(), value, lease: Some(lease) }],
+        conditions: vec![Guard {
+            key: LEADER.into(),
+            version,
+        }],
+        changes: vec![Change::Put {
+            put: LEADER.into(),
+            value,
+            lease: Some(lease),
+        }],
     };
     let mut term = match node.store.transact(&t, Duration::from_millis(1200)).await {
         Ok(revision) => Some(revision),
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -209,7 +209,9 @@
         for item in bits {
             self.writer.know(&item.key, item.version);
             let name = item.key.trim_start_matches(record::BITS);
-            let parsed = name.split_once('/').and_then(|(j, p)| Some((j.parse().ok()?, p.parse().ok()?)));
+            let parsed = name
+                .split_once('/')
+                .and_then(|(j, p)| Some((j.parse().ok()?, p.parse().ok()?)));
             if let (Some((id, page)), Some(text)) = (parsed, item.value.as_str()) {
                 if let Some(job) = m.jobs.get_mut(&id) {
                     job.load_page(page, text);
@@ -254,7 +256,12 @@
                 self.clone().pick_up(&i.key, i.version).await;
             }
             loop {
-                match self.node.store.watch(record::INBOX, since, Duration::from_secs(20)).await {
+                match self
+                    .node
+                    .store
+                    .watch(record::INBOX, since, Duration::from_secs(20))
+                    .await
+                {
                     Ok(w) => {
                         since = since.max(w.revision);
                         for e in w.events {
@@ -271,12 +278,17 @@
     }
 
     async fn pick_up(self: Arc<Self>, key: &str, version: u64) {
-        let Ok(id) = key.trim_start_matches(record::INBOX).parse::<JobId>() else { return };
+        let Ok(id) = key.trim_start_matches(record::INBOX).parse::<JobId>() else {
+            return;
+        };
         if !self.ingest(id).await {
             return;
         }
         self.writer.know(key, version);
-        let unit = Unit { changes: vec![(key.to_owned(), None)], absent: Vec::new() };
+        let unit = Unit {
+            changes: vec![(key.to_owned(), None)],
+            absent: Vec::new(),
+        };
         tokio::spawn(async move {
             let _ = self.writer.commit(unit).await;
         });
@@ -320,7 +332,9 @@
                     let known = self.model.lock().types.clone();
                     if known != types {
                         let shape = |t: &[crate::wire::MachineType]| {
-                            t.iter().map(|t| (t.name.clone(), t.cpus, t.zones.clone())).collect::<Vec<_>>()
+                            t.iter()
+                                .map(|t| (t.name.clone(), t.cpus, t.zones.clone()))
+                                .collect::<Vec<_>>()
                         };
                         let new = shape(&known) != shape(&types);
                         self.model.lock().types = types.clone();
@@ -330,7 +344,13 @@
                             let value = serde_json::to_value(&types).unwrap_or(Value::Null);
                             if value.to_string().len() < self.node.config.value_bytes {
                                 let changes = vec![(record::TYPES.to_owned(), Some(value))];
-                                let _ = self.writer.commit(Unit { changes, absent: Vec::new() }).await;
+                                let _ = self
+                                    .writer
+                                    .commit(Unit {
+                                        changes,
+                                        absent: Vec::new(),
+                                    })
+                                    .await;
                             }
                         }
                         self.kick.notify_one();
@@ -491,7 +511,12 @@
             // Only an unknown job is judged: a follower may have stored it.
             Err(bad) => return self.unless_known(id, bad).await,
         };
-        let rec = JobRecord { spec, at: wall_ms(), cancelled: false, done: String::new() };
+        let rec = JobRecord {
+            spec,
+            at: wall_ms(),
+            cancelled: false,
+            done: String::new(),
+        };
         if !self.node.record_fits(&rec) {
             let bad = Reply::error(400, "the job's description is too long");
             return self.unless_known(id, bad).await;
@@ -574,7 +599,12 @@
     async fn cancel_stored(self: Arc<Self>, id: JobId) -> Reply {
         // A job whose last task is done is about to be stored as done.
         for _ in 0..100 {
-            let finishing = self.model.lock().jobs.get(&id).is_some_and(|j| j.complete() && !j.cancelled);
+            let finishing = self
+                .model
+                .lock()
+                .jobs
+                .get(&id)
+                .is_some_and(|j| j.complete() && !j.cancelled);
             if !finishing {
                 break;
             }
@@ -601,7 +631,10 @@
         self.kick.notify_one();
         if let Some(record) = record {
             let value = serde_json::to_value(&record).unwrap_or(Value::Null);
-            let unit = Unit { changes: vec![(record::job_key(id), Some(value))], absent: Vec::new() };
+            let unit = Unit {
+                changes: vec![(record::job_key(id), Some(value))],
+                absent: Vec::new(),
+            };
             if self.writer.commit(unit).await.is_err() {
                 return Reply::later("the cancellation can't be stored now");
             }
@@ -630,7 +663,9 @@
             .connected()
             .into_iter()
             .filter(|h| {
-                sent.avoid.get(&(machine.clone(), h.clone())).is_none_or(|t| now.duration_since(*t) > AVOID)
+                sent.avoid
+                    .get(&(machine.clone(), h.clone()))
+                    .is_none_or(|t| now.duration_since(*t) > AVOID)
             })
             .max_by_key(weigh)
             .unwrap_or_else(|| self.node.host().to_owned())
@@ -649,7 +684,10 @@
         let token = {
             let mut m = self.model.lock();
             let heard = m.heard(&r, now);
-            let releasing = m.machines.get(&r.machine).is_some_and(|m| m.phase == Phase::Releasing);
+            let releasing = m
+                .machines
+                .get(&r.machine)
+                .is_some_and(|m| m.phase == Phase::Releasing);
             match heard {
                 Heard::Gone => return Reply::later("this machine was returned"),
                 Heard::Old => return Reply::later("an older report"),
@@ -665,7 +703,13 @@
         if let Some(to) = self.redirect(&r.machine, via, now) {
             return Node::elsewhere(&to);
         }
-        Reply::json(200, &ReportReply { token, commands: Vec::new() })
+        Reply::json(
+            200,
+            &ReportReply {
+                token,
+                commands: Vec::new(),
+            },
+        )
     }
 
     fn redirect(&self, machine: &MachineId, via: &str, now: Instant) -> Option<String> {
@@ -686,4 +730,3 @@
         Some(owner)
     }
 }
-
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,9 +28,19 @@
         Ok("error") => tracing::Level::ERROR,
         _ => tracing::Level::INFO,
     };
-    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
-    let settings = Platform::load(&args.config)
-        .and_then(|p| Ok((p, args.properties.as_deref().map_or_else(|| Ok(Tuning::default()), Tuning::load)?)));
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .init();
+    let settings = Platform::load(&args.config).and_then(|p| {
+        Ok((
+            p,
+            args.properties
+                .as_deref()
+                .map_or_else(|| Ok(Tuning::default()), Tuning::load)?,
+        ))
+    });
     let (platform, tuning) = match settings {
         Ok(s) => s,
         Err(e) => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,9 +17,7 @@
 use crate::peer::{Ask, Link, Reply};
 use crate::settings::{Platform, Tuning};
 use crate::store::{Store, StoreError};
-use crate::wire::{
-    Change, Guard, JobId, JobSpec, JobView, MachineType, Redirect, Standing, Transaction,
-};
+use crate::wire::{Change, Guard, JobId, JobSpec, JobView, MachineType, Redirect, Standing, Transaction};
 
 /// Final states kept at hand; the rest is read from the state service.
 const MOST_FINALS: usize = 50_000;
@@ -62,7 +60,12 @@
 
     /// The final state, if at hand.
     pub fn view(&self, id: JobId) -> Option<JobView> {
-        self.map.get(&id).map(|(state, done)| JobView { id, state: *state, done: *done, running: 0 })
+        self.map.get(&id).map(|(state, done)| JobView {
+            id,
+            state: *state,
+            done: *done,
+            running: 0,
+        })
     }
 }
 
@@ -107,7 +110,10 @@
 
 /// Milliseconds of the time of day.
 pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 /// The id in a submission, whatever else is wrong with it.
@@ -133,8 +139,16 @@
             limits.rps * 0.6,
             limits.write_rps * 0.7,
         );
-        let cloud = Cloud::new(http.clone(), platform.services.cloud.to_string(), platform.params.cloud.rps);
-        let links = platform.peers.iter().map(|p| Link::new(p.node.clone(), p.addr)).collect();
+        let cloud = Cloud::new(
+            http.clone(),
+            platform.services.cloud.to_string(),
+            platform.params.cloud.rps,
+        );
+        let links = platform
+            .peers
+            .iter()
+            .map(|p| Link::new(p.node.clone(), p.addr))
+            .collect();
         Arc::new(Self {
             config: Arc::new(Config::new(&platform, tuning.clone())),
             nonce: rand::random(),
@@ -213,15 +227,20 @@
     /// Controllers connected to this one, itself included.
     pub fn connected(&self) -> Vec<String> {
         let peers = self.peers.lock();
-        let mut all: Vec<String> =
-            peers.iter().filter(|(_, t)| t.elapsed() < PEER_QUIET).map(|(h, _)| h.clone()).collect();
+        let mut all: Vec<String> = peers
+            .iter()
+            .filter(|(_, t)| t.elapsed() < PEER_QUIET)
+            .map(|(h, _)| h.clone())
+            .collect();
         all.push(self.host().to_owned());
         all.sort();
         all
     }
 
     async fn ask_leader(&self, ask: Ask, patience: Duration) -> Option<Reply> {
-        let Role::Following { host } = self.role() else { return None };
+        let Role::Following { host } = self.role() else {
+            return None;
+        };
         let link = self.links.iter().find(|l| l.host == host)?;
         link.ask(ask, patience).await.filter(|r| r.status != 0)
     }
@@ -234,7 +253,9 @@
                 _ => Reply::not_leading(),
             };
         }
-        let Some(reign) = self.reign() else { return Reply::not_leading() };
+        let Some(reign) = self.reign() else {
+            return Reply::not_leading();
+        };
         match ask {
             Ask::Submit(body) => reign.submit(&body).await,
             Ask::Poll(id) => match id.parse() {
@@ -259,7 +280,9 @@
         if let Some(view) = id_in(body).and_then(|id| self.finals.lock().view(id)) {
             return Reply::json(200, &view);
         }
-        let asked = self.ask_leader(Ask::Submit(body.to_vec()), self.tuning.forward).await;
+        let asked = self
+            .ask_leader(Ask::Submit(body.to_vec()), self.tuning.forward)
+            .await;
         match asked {
             Some(r) if r.status != 503 => r,
             _ => self.submit_direct(body).await,
@@ -274,7 +297,9 @@
         if let Some(view) = self.finals.lock().view(id) {
             return Reply::json(200, &view);
         }
-        let asked = self.ask_leader(Ask::Poll(id.to_string()), self.tuning.forward).await;
+        let asked = self
+            .ask_leader(Ask::Poll(id.to_string()), self.tuning.forward)
+            .await;
         match asked {
             Some(r) if r.status != 503 => {
                 self.learn(&r);
@@ -307,7 +332,9 @@
         if let Some(view) = self.finals.lock().view(id) {
             return Reply::json(200, &view);
         }
-        let asked = self.ask_leader(Ask::Cancel(id.to_string()), Duration::from_secs(2)).await;
+        let asked = self
+            .ask_leader(Ask::Cancel(id.to_string()), Duration::from_secs(2))
+            .await;
         match asked {
             Some(r) if r.status != 503 => {
                 self.learn(&r);
@@ -316,9 +343,7 @@
             _ => match self.lookup(id).await {
                 Ok(l @ Lookup::Final(_)) => view_reply(id, &l),
                 Ok(Lookup::Absent) => Reply::error(404, "no such job"),
-                Ok(Lookup::Active(r, _)) if r.cancelled => {
-                    view_reply(id, &Lookup::Active(r, 0))
-                }
+                Ok(Lookup::Active(r, _)) if r.cancelled => view_reply(id, &Lookup::Active(r, 0)),
                 _ => Reply::later("no leader to cancel it now"),
             },
         }
@@ -335,7 +360,12 @@
         if let Ok(item) = self.store.get_within(&record::final_key(id), patience).await? {
             let f: FinalRecord = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
             self.finals.lock().keep(id, f.state, f.done);
-            return Ok(Lookup::Final(JobView { id, state: f.state, done: f.done, running: 0 }));
+            return Ok(Lookup::Final(JobView {
+                id,
+                state: f.state,
+                done: f.done,
+                running: 0,
+            }));
         }
         Ok(Lookup::Absent)
     }
@@ -346,7 +376,11 @@
         if !known.is_empty() {
             return known;
         }
-        if let Ok(Ok(item)) = self.store.get_within(record::TYPES, Duration::from_millis(900)).await {
+        if let Ok(Ok(item)) = self
+            .store
+            .get_within(record::TYPES, Duration::from_millis(900))
+            .await
+        {
             if let Ok(types) = serde_json::from_value::<Vec<MachineType>>(item.value) {
                 *self.types.lock() = Arc::new(types);
             }
@@ -357,7 +391,8 @@
     /// Judges a submission: its job, or the answer.
     pub fn judge(&self, body: &[u8], types: &[MachineType]) -> Result<JobSpec, Reply> {
         let spec: JobSpec = serde_json::from_slice(body).map_err(|e| Reply::error(400, &e.to_string()))?;
-        spec.check().map_err(|f| Reply::error(400, &format!("invalid field `{f}`")))?;
+        spec.check()
+            .map_err(|f| Reply::error(400, &format!("invalid field `{f}`")))?;
         if !self.config.teams.contains_key(&spec.team) {
             return Err(Reply::error(422, &Unfit::Team.to_string()));
         }
@@ -386,7 +421,11 @@
     /// Whether the record fits the state service.
     pub fn record_fits(&self, record: &JobRecord) -> bool {
         // Room for the done tasks, which are kept beside the description.
-        let done = if BitSet::pages(record.spec.tasks) == 1 { record.spec.tasks.div_ceil(64) * 16 } else { 0 };
+        let done = if BitSet::pages(record.spec.tasks) == 1 {
+            record.spec.tasks.div_ceil(64) * 16
+        } else {
+            0
+        };
         let spare = done as usize + 64;
         serde_json::to_vec(record).is_ok_and(|v| v.len() + spare <= self.config.value_bytes)
     }
@@ -408,19 +447,40 @@
             Ok(s) => s,
             Err(r) => return r,
         };
-        let rec = JobRecord { spec, at: wall_ms(), cancelled: false, done: String::new() };
+        let rec = JobRecord {
+            spec,
+            at: wall_ms(),
+            cancelled: false,
+            done: String::new(),
+        };
         if !self.record_fits(&rec) {
             return Reply::error(400, "the job's description is too long");
         }
-        let Ok(value) = serde_json::to_value(&rec) else { return Reply::error(400, "malformed") };
+        let Ok(value) = serde_json::to_value(&rec) else {
+            return Reply::error(400, "malformed");
+        };
         let t = Transaction {
             conditions: vec![
-                Guard { key: record::job_key(id), version: 0 },
-                Guard { key: record::final_key(id), version: 0 },
+                Guard {
+                    key: record::job_key(id),
+                    version: 0,
+                },
+                Guard {
+                    key: record::final_key(id),
+                    version: 0,
+                },
             ],
             changes: vec![
-                Change::Put { put: record::job_key(id), value, lease: None },
-                Change::Put { put: record::inbox_key(id), value: true.into(), lease: None },
+                Change::Put {
+                    put: record::job_key(id),
+                    value,
+                    lease: None,
+                },
+                Change::Put {
+                    put: record::inbox_key(id),
+                    value: true.into(),
+                    lease: None,
+                },
             ],
         };
         match self.store.transact(&t, Duration::from_millis(1200)).await {
@@ -451,13 +511,26 @@
 
     /// The answer that sends a worker elsewhere.
     pub fn elsewhere(host: &str) -> Reply {
-        Reply::json(421, &Redirect { report_to: Some(host.to_owned()) })
+        Reply::json(
+            421,
+            &Redirect {
+                report_to: Some(host.to_owned()),
+            },
+        )
     }
 }
 
 /// A submission was accepted.
 pub fn accepted(id: JobId, status: u16) -> Reply {
-    Reply::json(status, &JobView { id, state: Standing::Queued, done: 0, running: 0 })
+    Reply::json(
+        status,
+        &JobView {
+            id,
+            state: Standing::Queued,
+            done: 0,
+            running: 0,
+        },
+    )
 }
 
 /// The answer about a job as the state service tells it.
@@ -475,7 +548,15 @@
             } else {
                 Standing::Queued
             };
-            Reply::json(200, &JobView { id, state, done: done.count(), running: 0 })
+            Reply::json(
+                200,
+                &JobView {
+                    id,
+                    state,
+                    done: done.count(),
+                    running: 0,
+                },
+            )
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -57,7 +57,11 @@
 impl Reply {
     /// A response with a JSON body.
     pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Self {
-        Self { status, retry_after: None, body: serde_json::to_vec(body).unwrap_or_default() }
+        Self {
+            status,
+            retry_after: None,
+            body: serde_json::to_vec(body).unwrap_or_default(),
+        }
     }
 
     /// An error with a reason.
@@ -67,12 +71,19 @@
 
     /// It can't be known or done now; come back in a second.
     pub fn later(reason: &str) -> Self {
-        Self { retry_after: Some(1), ..Self::error(503, reason) }
+        Self {
+            retry_after: Some(1),
+            ..Self::error(503, reason)
+        }
     }
 
     /// The asked one does not lead.
     pub fn not_leading() -> Self {
-        Self { status: 0, retry_after: None, body: Vec::new() }
+        Self {
+            status: 0,
+            retry_after: None,
+            body: Vec::new(),
+        }
     }
 }
 
@@ -118,7 +129,13 @@
     /// A link that is not connected yet.
     pub fn new(host: String, addr: SocketAddr) -> Arc<Self> {
         let (questions, inbox) = mpsc::channel(256);
-        Arc::new(Self { host, addr, questions, inbox: Mutex::new(Some(inbox)), heard: Mutex::new(None) })
+        Arc::new(Self {
+            host,
+            addr,
+            questions,
+            inbox: Mutex::new(Some(inbox)),
+            heard: Mutex::new(None),
+        })
     }
 
     /// Whether the other side was heard of late.
@@ -138,7 +155,9 @@
 
     /// Keeps the link connected for ever.
     pub async fn run(self: Arc<Self>, node: Arc<Node>) {
-        let Some(mut inbox) = self.inbox.lock().take() else { return };
+        let Some(mut inbox) = self.inbox.lock().take() else {
+            return;
+        };
         loop {
             if let Ok(Ok(stream)) = timeout(Duration::from_secs(1), TcpStream::connect(self.addr)).await {
                 let _ = stream.set_nodelay(true);
@@ -158,7 +177,11 @@
     ) -> io::Result<()> {
         let (read, mut write) = stream.into_split();
         let mut read = BufReader::new(read);
-        write.write_all(&encode(&Frame::Hello { host: node.host().to_owned() })?).await?;
+        write
+            .write_all(&encode(&Frame::Hello {
+                host: node.host().to_owned(),
+            })?)
+            .await?;
         let pending: Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>> = Arc::default();
         let mut next = 0u64;
         let reader = async {
@@ -238,13 +261,21 @@
             if let Ask::Ping { term } = ask {
                 node.term_seen(term);
                 let reply = Reply::not_leading();
-                let _ = tx.try_send(Frame::Answer { id, term: node.known_term(), reply });
+                let _ = tx.try_send(Frame::Answer {
+                    id,
+                    term: node.known_term(),
+                    reply,
+                });
                 continue;
             }
             let (node, tx, host) = (node.clone(), tx.clone(), host.clone());
             tokio::spawn(async move {
                 let reply = node.answer_peer(&host, ask).await;
-                let _ = tx.try_send(Frame::Answer { id, term: node.known_term(), reply });
+                let _ = tx.try_send(Frame::Answer {
+                    id,
+                    term: node.known_term(),
+                    reply,
+                });
             });
         }
     };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -175,7 +175,12 @@
 
 impl Default for StateLimits {
     fn default() -> Self {
-        Self { rps: 100.0, write_rps: 20.0, value_kb: 4.0, txn_ops: 8 }
+        Self {
+            rps: 100.0,
+            write_rps: 20.0,
+            value_kb: 4.0,
+            txn_ops: 8,
+        }
     }
 }
 
@@ -192,7 +197,10 @@
 
 impl Default for CloudLimits {
     fn default() -> Self {
-        Self { rps: 1.0, list_lag: Duration::from_secs(15) }
+        Self {
+            rps: 1.0,
+            list_lag: Duration::from_secs(15),
+        }
     }
 }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -49,7 +49,11 @@
 impl Pace {
     /// A full budget.
     pub fn new(rate: f64, burst: f64) -> Self {
-        Self { rate, burst: burst.max(1.0), state: Mutex::new((burst.max(1.0), Instant::now())) }
+        Self {
+            rate,
+            burst: burst.max(1.0),
+            state: Mutex::new((burst.max(1.0), Instant::now())),
+        }
     }
 
     /// Takes units, and tells how long to wait before going on.
@@ -110,7 +114,12 @@
 impl Store {
     /// A client with its share of the limits.
     pub fn new(http: Http, addr: String, rps: f64, write_rps: f64) -> Self {
-        Self { http, addr, requests: Pace::new(rps, rps), writes: Pace::new(write_rps, write_rps) }
+        Self {
+            http,
+            addr,
+            requests: Pace::new(rps, rps),
+            writes: Pace::new(write_rps, write_rps),
+        }
     }
 
     async fn call(
@@ -131,7 +140,9 @@
     /// [`Store::get`] with a deadline of its own.
     pub async fn get_within(&self, key: &str, timeout: Duration) -> Result<Result<Item, u64>, StoreError> {
         self.requests.pass(1.0).await;
-        let r = self.call(Method::GET, &format!("/kv/{key}"), None, timeout).await?;
+        let r = self
+            .call(Method::GET, &format!("/kv/{key}"), None, timeout)
+            .await?;
         match r.status {
             200 => Ok(Ok(parse(&r)?)),
             404 => Ok(Err(parse::<Outcome>(&r)?.revision)),
@@ -144,7 +155,10 @@
         let mut items: Vec<Item> = Vec::new();
         loop {
             self.requests.pass(1.0).await;
-            let since = items.last().map(|i| format!("&since={}", i.key)).unwrap_or_default();
+            let since = items
+                .last()
+                .map(|i| format!("&since={}", i.key))
+                .unwrap_or_default();
             let path = format!("/kv?starts={prefix}{since}&limit=500");
             let r = self.call(Method::GET, &path, None, PATIENCE * 2).await?;
             if r.status != 200 {
@@ -189,7 +203,14 @@
     /// Renews a hold. Not paced: it must not wait behind other requests.
     pub async fn touch_hold(&self, lease: u64, timeout: Duration) -> Result<(), StoreError> {
         self.requests.take(1.0, Instant::now());
-        let r = self.call(Method::POST, &format!("/holds/{lease}/touch"), Some(b"{}".to_vec()), timeout).await?;
+        let r = self
+            .call(
+                Method::POST,
+                &format!("/holds/{lease}/touch"),
+                Some(b"{}".to_vec()),
+                timeout,
+            )
+            .await?;
         match r.status {
             200 => Ok(()),
             404 => Err(StoreError::NoHold),
@@ -199,7 +220,9 @@
 
     /// Ends a hold.
     pub async fn end_hold(&self, lease: u64) -> Result<(), StoreError> {
-        let r = self.call(Method::DELETE, &format!("/holds/{lease}"), None, PATIENCE).await?;
+        let r = self
+            .call(Method::DELETE, &format!("/holds/{lease}"), None, PATIENCE)
+            .await?;
         match r.status {
             200 | 404 => Ok(()),
             s => Err(refusal(s)),
@@ -209,8 +232,13 @@
     /// Waits for a change of some key with the prefix.
     pub async fn watch(&self, prefix: &str, since: u64, hold: Duration) -> Result<Watched, StoreError> {
         self.requests.pass(1.0).await;
-        let path = format!("/watch?starts={prefix}&since={since}&hold_ms={}", hold.as_millis());
-        let r = self.call(Method::GET, &path, None, hold + Duration::from_secs(3)).await?;
+        let path = format!(
+            "/watch?starts={prefix}&since={since}&hold_ms={}",
+            hold.as_millis()
+        );
+        let r = self
+            .call(Method::GET, &path, None, hold + Duration::from_secs(3))
+            .await?;
         match r.status {
             200 => parse(&r),
             410 => Err(StoreError::TooOld),
@@ -242,7 +270,11 @@
 impl Unit {
     /// Whether it names a key.
     fn names(&self, busy: &HashSet<String>) -> bool {
-        self.changes.iter().map(|c| &c.0).chain(&self.absent).any(|k| busy.contains(k))
+        self.changes
+            .iter()
+            .map(|c| &c.0)
+            .chain(&self.absent)
+            .any(|k| busy.contains(k))
     }
 }
 
@@ -358,12 +390,21 @@
         let mut at = 0;
         while at < s.queue.len() {
             let unit = &s.queue[at].0;
-            let size: usize = unit.changes.iter().map(|(k, v)| k.len() + weight(v.as_ref())).sum();
+            let size: usize = unit
+                .changes
+                .iter()
+                .map(|(k, v)| k.len() + weight(v.as_ref()))
+                .sum();
             let fits = ops + unit.changes.len() <= self.most
                 && guards + unit.changes.len() + unit.absent.len() <= self.most * 4
                 && (batch.is_empty() || bytes + size <= MOST_BYTES);
             if !fits || unit.names(&s.busy) || unit.names(&held) {
-                held.extend(unit.changes.iter().map(|c| c.0.clone()).chain(unit.absent.iter().cloned()));
+                held.extend(
+                    unit.changes
+                        .iter()
+                        .map(|c| c.0.clone())
+                        .chain(unit.absent.iter().cloned()),
+                );
                 at += 1;
                 continue;
             }
@@ -371,15 +412,24 @@
             ops += unit.changes.len();
             guards += unit.changes.len() + unit.absent.len();
             bytes += size;
-            held.extend(unit.changes.iter().map(|c| c.0.clone()).chain(unit.absent.iter().cloned()));
+            held.extend(
+                unit.changes
+                    .iter()
+                    .map(|c| c.0.clone())
+                    .chain(unit.absent.iter().cloned()),
+            );
             batch.push((unit, reply));
         }
         if batch.is_empty() {
             return None;
         }
         for (unit, _) in &batch {
-            let keys: Vec<String> =
-                unit.changes.iter().map(|c| c.0.clone()).chain(unit.absent.iter().cloned()).collect();
+            let keys: Vec<String> = unit
+                .changes
+                .iter()
+                .map(|c| c.0.clone())
+                .chain(unit.absent.iter().cloned())
+                .collect();
             s.busy.extend(keys);
         }
         s.in_flight += 1;
@@ -389,22 +439,43 @@
     fn transaction(&self, batch: &[(Unit, Reply)]) -> Transaction {
         let s = self.state.lock();
         let mut t = Transaction {
-            conditions: vec![Guard { key: self.leader_key.to_owned(), version: self.term }],
+            conditions: vec![Guard {
+                key: self.leader_key.to_owned(),
+                version: self.term,
+            }],
             changes: Vec::new(),
         };
         for (unit, _) in batch {
             for (key, value) in &unit.changes {
                 let fresh = unit.absent.contains(key);
-                let version = if fresh { 0 } else { s.versions.get(key).copied().unwrap_or(0) };
-                t.conditions.push(Guard { key: key.clone(), version });
+                let version = if fresh {
+                    0
+                } else {
+                    s.versions.get(key).copied().unwrap_or(0)
+                };
+                t.conditions.push(Guard {
+                    key: key.clone(),
+                    version,
+                });
                 match value {
-                    Some(v) => t.changes.push(Change::Put { put: key.clone(), value: v.clone(), lease: None }),
+                    Some(v) => t.changes.push(Change::Put {
+                        put: key.clone(),
+                        value: v.clone(),
+                        lease: None,
+                    }),
                     None if version > 0 => t.changes.push(Change::Delete { delete: key.clone() }),
                     None => {}
                 }
             }
-            for key in unit.absent.iter().filter(|k| unit.changes.iter().all(|c| c.0 != **k)) {
-                t.conditions.push(Guard { key: key.clone(), version: 0 });
+            for key in unit
+                .absent
+                .iter()
+                .filter(|k| unit.changes.iter().all(|c| c.0 != **k))
+            {
+                t.conditions.push(Guard {
+                    key: key.clone(),
+                    version: 0,
+                });
             }
         }
         t
@@ -413,7 +484,12 @@
     async fn send(&self, mut batch: Vec<(Unit, Reply)>) {
         let keys: Vec<String> = batch
             .iter()
-            .flat_map(|(u, _)| u.changes.iter().map(|c| c.0.clone()).chain(u.absent.iter().cloned()))
+            .flat_map(|(u, _)| {
+                u.changes
+                    .iter()
+                    .map(|c| c.0.clone())
+                    .chain(u.absent.iter().cloned())
+            })
             .collect();
         let mut uncertain = false;
         while !batch.is_empty() && !self.is_over() {
@@ -486,7 +562,11 @@
         let mut now: HashMap<String, (u64, Value)> = HashMap::new();
         let mut wanted: Vec<String> = failed.clone();
         if uncertain {
-            wanted.extend(batch.iter().flat_map(|(u, _)| u.changes.iter().map(|c| c.0.clone())));
+            wanted.extend(
+                batch
+                    .iter()
+                    .flat_map(|(u, _)| u.changes.iter().map(|c| c.0.clone())),
+            );
         }
         wanted.sort();
         wanted.dedup();
@@ -511,7 +591,9 @@
         if uncertain {
             let mut revision = None;
             let ours = batch.iter().flat_map(|(u, _)| &u.changes).all(|(key, value)| {
-                let Some((version, found)) = now.get(key) else { return false };
+                let Some((version, found)) = now.get(key) else {
+                    return false;
+                };
                 match value {
                     Some(v) => {
                         let same = found == v && *revision.get_or_insert(*version) == *version;
@@ -561,7 +643,12 @@
         None => 16,
         Some(Value::String(s)) => s.len() + 2,
         Some(Value::Array(a)) => a.iter().map(|v| weight(Some(v)) + 1).sum::<usize>() + 2,
-        Some(Value::Object(o)) => o.iter().map(|(k, v)| k.len() + 4 + weight(Some(v))).sum::<usize>() + 2,
+        Some(Value::Object(o)) => {
+            o.iter()
+                .map(|(k, v)| k.len() + 4 + weight(Some(v)))
+                .sum::<usize>()
+                + 2
+        }
         Some(_) => 20,
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -32,7 +32,10 @@
         if d.is_empty() || d.len() > 18 || !d.bytes().all(|b| b.is_ascii_digit()) {
             return Err(BadId);
         }
-        Ok(Self { number: d.parse().map_err(|_| BadId)?, digits: d.len() as u8 })
+        Ok(Self {
+            number: d.parse().map_err(|_| BadId)?,
+            digits: d.len() as u8,
+        })
     }
 }
 
@@ -61,7 +64,10 @@
     type Err = BadId;
     fn from_str(s: &str) -> Result<Self, BadId> {
         let (job, index) = s.split_once('/').ok_or(BadId)?;
-        Ok(Self { job: job.parse()?, index: index.parse().map_err(|_| BadId)? })
+        Ok(Self {
+            job: job.parse()?,
+            index: index.parse().map_err(|_| BadId)?,
+        })
     }
 }
 
@@ -100,12 +106,15 @@
 
 // ---- users -------------------------------------------------------------
 
-/// Kind of a job. Gangs, placed whole, would be a third kind here.
+/// Kind of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// Independent tasks, each runs to completion.
     #[serde(rename = "batch")]
     Array,
+    /// Tasks that run only together: placed whole.
+    #[serde(rename = "group")]
+    Gang,
     /// Replicas that run until the job is cancelled.
     #[serde(rename = "daemon")]
     Service,
@@ -215,7 +224,11 @@
         if self.tasks == 0 || self.tasks > MOST_TASKS {
             return Err("lots");
         }
-        for (name, s) in [("lot_class", &self.class), ("desk", &self.team), ("kit", &self.image)] {
+        for (name, s) in [
+            ("lot_class", &self.class),
+            ("desk", &self.team),
+            ("kit", &self.image),
+        ] {
             if s.is_empty() || s.len() > 256 {
                 return Err(name);
             }
@@ -269,7 +282,7 @@
     /// Waits for its image.
     #[serde(rename = "fetching")]
     Fetching,
-    /// Waits for something else; not expected of arrays and services.
+    /// Has its image and waits for the other tasks of its gang.
     #[serde(rename = "waiting")]
     Waiting,
     /// Runs.
@@ -304,6 +317,12 @@
     /// Refused: not known to the worker.
     #[serde(rename = "no_such")]
     Unknown,
+    /// Another task of its gang is gone.
+    #[serde(rename = "mates_gone")]
+    Peers,
+    /// The other tasks of its gang did not come in time.
+    #[serde(rename = "alone")]
+    Alone,
     /// A reason that this version does not know; treated as a failure.
     #[serde(other, rename = "other")]
     Other,
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -23,11 +23,18 @@
 
 /// Sends commands to a worker.
 pub async fn command(http: &Http, addr: &str, commands: &Commands) -> Commanded {
-    let Ok(body) = serde_json::to_vec(commands) else { return Commanded::Unknown };
-    let Ok(r) = http.call(Method::POST, addr, "/commands", Some(body), PATIENCE).await else {
+    let Ok(body) = serde_json::to_vec(commands) else {
+        return Commanded::Unknown;
+    };
+    let Ok(r) = http
+        .call(Method::POST, addr, "/commands", Some(body), PATIENCE)
+        .await
+    else {
+        return Commanded::Unknown;
+    };
+    let Ok(report) = serde_json::from_slice::<Report>(&r.body) else {
         return Commanded::Unknown;
     };
-    let Ok(report) = serde_json::from_slice::<Report>(&r.body) else { return Commanded::Unknown };
     match r.status {
         200 => Commanded::Done(report),
         409 => Commanded::Refused(report),
