--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -226,7 +226,7 @@
         for m in self.machines.values() {
             let Some(kind) = self.kind_of(m) else { continue };
             let booting = m.phase == Phase::Booting;
-            if !booting && !(self.usable(m, now) && m.recall.is_none()) {
+            if !(booting || self.usable(m, now) && m.recall.is_none()) {
                 continue;
             }
             let t = &self.types[kind];
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -6,6 +6,7 @@
 //! has seen a token at least as high as the last `start`, the worker's session
 //! is a later one, or the cloud has confirmed the machine's release.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -243,6 +244,11 @@
             .map(|s| self.arrival + Duration::from_secs_f64(s))
     }
 
+    fn occupy(&mut self, index: u32, machine: &MachineId) {
+        self.waiting.remove(index);
+        self.places.entry(index).or_default().push(machine.clone());
+    }
+
     fn vacate(&mut self, index: u32, machine: &MachineId) {
         if let Some(list) = self.places.get_mut(&index) {
             list.retain(|m| m != machine);
@@ -301,6 +307,30 @@
 }
 
 impl Slot {
+    /// An attempt that is or may be there, though this leader did not start
+    /// it. Whatever an earlier leader sent is settled by any message that
+    /// shows a token of this term.
+    fn unknown(attempt: u64, spec: Option<Arc<JobSpec>>, term: u64, now: Instant) -> Self {
+        Self {
+            attempt,
+            state: SlotState::Unknown,
+            spec,
+            start_token: term << TOKEN_BITS,
+            need_rev: 0,
+            outcome_rev: 0,
+            backfilled: false,
+            placed_at: now,
+            running_since: None,
+            stop: None,
+            stop_at: None,
+        }
+    }
+
+    fn order_stop(&mut self, grace: Duration, now: Instant) {
+        self.stop = Some(grace);
+        self.stop_at.get_or_insert(now);
+    }
+
     /// Whether it still takes room: everything but an ended one.
     pub fn takes_room(&self) -> bool {
         !matches!(self.state, SlotState::Ended(_))
@@ -605,8 +635,7 @@
         let (Some(job), Some(m)) = (self.jobs.get_mut(&task.job), self.machines.get_mut(machine)) else {
             return;
         };
-        job.waiting.remove(task.index);
-        job.places.entry(task.index).or_default().push(machine.clone());
+        job.occupy(task.index, machine);
         m.rev += 1;
         m.idle_since = None;
         m.slots.insert(
@@ -645,8 +674,7 @@
             return;
         }
         info!(%task, attempt = slot.attempt, machine = %machine, why, "stopping");
-        slot.stop = Some(grace);
-        slot.stop_at.get_or_insert(now);
+        slot.order_stop(grace, now);
     }
 
     /// Removes a slot on evidence; its task waits again unless done.
@@ -668,7 +696,6 @@
 
     /// Takes a record that an earlier leader left.
     pub fn load_machine(&mut self, id: MachineId, record: MachineRecord, now: Instant) {
-        let floor = self.term << TOKEN_BITS;
         let m = self
             .machines
             .entry(id.clone())
@@ -689,27 +716,13 @@
         for (task, attempt) in record.tasks {
             let job = self.jobs.get_mut(&task.job);
             let cancelled = job.as_ref().is_none_or(|j| j.cancelled);
-            m.slots.insert(
-                task,
-                Slot {
-                    attempt,
-                    state: SlotState::Unknown,
-                    spec: job.as_ref().map(|j| j.spec.clone()),
-                    // Whatever the earlier leader sent is settled by any
-                    // message that shows a token of this term.
-                    start_token: floor,
-                    need_rev: 0,
-                    outcome_rev: 0,
-                    backfilled: false,
-                    placed_at: now,
-                    running_since: None,
-                    stop: cancelled.then_some(Duration::ZERO),
-                    stop_at: cancelled.then_some(now),
-                },
-            );
+            let mut slot = Slot::unknown(attempt, job.as_ref().map(|j| j.spec.clone()), self.term, now);
+            if cancelled {
+                slot.order_stop(Duration::ZERO, now);
+            }
+            m.slots.insert(task, slot);
             if let Some(job) = job {
-                job.places.entry(task.index).or_default().push(id.clone());
-                job.waiting.remove(task.index);
+                job.occupy(task.index, &id);
             }
         }
     }
@@ -885,40 +898,20 @@
         let Some(m) = self.machines.get_mut(&r.machine) else {
             return;
         };
-        let job = self.jobs.get_mut(&t.task.job);
-        if !m.slots.contains_key(&t.task) {
+        let mut job = self.jobs.get_mut(&t.task.job);
+        if let Entry::Vacant(free) = m.slots.entry(t.task) {
             // On the machine though no record names it: of a job that is over
             // or cancelled, or another attempt. It counts until it is gone.
-            let spec = job.as_ref().map(|j| j.spec.clone());
             debug!(task = %t.task, attempt = t.attempt, machine = %r.machine, "unexpected task");
-            m.slots.insert(
-                t.task,
-                Slot {
-                    attempt: t.attempt,
-                    state: SlotState::Unknown,
-                    spec,
-                    start_token: term << TOKEN_BITS,
-                    need_rev: 0,
-                    outcome_rev: 0,
-                    backfilled: false,
-                    placed_at: now,
-                    running_since: None,
-                    stop: Some(Duration::ZERO),
-                    stop_at: Some(now),
-                },
-            );
+            let spec = job.as_ref().map(|j| j.spec.clone());
+            let mut slot = Slot::unknown(t.attempt, spec, term, now);
+            slot.order_stop(Duration::ZERO, now);
+            free.insert(slot);
             m.idle_since = None;
-            if let Some(job) = self.jobs.get_mut(&t.task.job) {
-                if t.task.index < job.spec.tasks {
-                    job.waiting.remove(t.task.index);
-                    job.places
-                        .entry(t.task.index)
-                        .or_default()
-                        .push(r.machine.clone());
-                }
+            if let Some(job) = job.as_mut().filter(|j| t.task.index < j.spec.tasks) {
+                job.occupy(t.task.index, &r.machine);
             }
         }
-        let job = self.jobs.get_mut(&t.task.job);
         let slot = m.slots.get_mut(&t.task).expect("just made");
         if slot.attempt != t.attempt {
             // An ended attempt that is not forgotten yet, beside a new one.
@@ -1016,11 +1009,7 @@
         slot.attempt = t.attempt;
         slot.state = SlotState::Unknown;
         if let Some(job) = self.jobs.get_mut(&t.task.job) {
-            job.waiting.remove(t.task.index);
-            job.places
-                .entry(t.task.index)
-                .or_default()
-                .push(r.machine.clone());
+            job.occupy(t.task.index, &r.machine);
         }
     }
 
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -106,6 +106,10 @@
     }
 }
 
+/// How good a machine is for a task, the smaller the better: work lost to
+/// preemption, the job failed there, image absent, not spot, price, room left.
+type Score = (Duration, bool, bool, bool, f64, f64);
+
 /// Where a task is to go, and what has to stop for it.
 struct Place {
     at: usize,
@@ -605,7 +609,7 @@
     ) -> Option<Place> {
         let job = self.model.jobs.get(&task.job)?;
         let run = self.model.predict(spec);
-        let mut best: Option<((Duration, bool, u8, bool, f64, f64), Place)> = None;
+        let mut best: Option<(Score, Place)> = None;
         for (at, room) in rooms.iter().enumerate() {
             let free = room.fits(spec);
             if !(free || preempt)
@@ -641,14 +645,7 @@
             let failed = job.failed_on.contains(&m.id);
             let price = if room.spot { kind.spot_price } else { kind.price } / kind.cpus.max(1.0);
             // Spot first, for what it costs, then the fullest machine.
-            let score = (
-                lost,
-                failed,
-                u8::from(!cached),
-                !room.spot,
-                price,
-                room.cpus - spec.cpus,
-            );
+            let score = (lost, failed, !cached, !room.spot, price, room.cpus - spec.cpus);
             if best.as_ref().is_none_or(|(b, _)| score < *b) {
                 best = Some((score, Place { at, task, victims }));
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,8 @@
 
 use bitternfold::settings::{Platform, Tuning};
 use clap::Parser;
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::prelude::*;
 
 /// A highly available cluster scheduler.
 #[derive(Parser)]
@@ -28,10 +30,15 @@
         Ok("error") => tracing::Level::ERROR,
         _ => tracing::Level::INFO,
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    // Resets of users' connections are ordinary; the HTTP library calls them errors.
+    let quiet = Targets::new()
+        .with_default(level)
+        .with_target("warp", LevelFilter::OFF);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
-        .with_ansi(false)
+        .with_ansi(false);
+    tracing_subscriber::registry()
+        .with(lines.with_filter(quiet))
         .init();
     let settings = Platform::load(&args.config).and_then(|p| {
         Ok((
--- /dev/null
+++ b/tests/formats.rs
@@ -0,0 +1,201 @@
+//! Wire bodies, settings and stored sets: what is written is read again, what
+//! is wrong is refused and named.
+
+mod support;
+
+use bitternfold::core::bits::{BitSet, PAGE};
+use bitternfold::settings::{Platform, Tuning};
+use bitternfold::wire::*;
+use proptest::prelude::*;
+
+fn any_id() -> impl Strategy<Value = JobId> {
+    "job-[0-9]{1,18}".prop_map(|s| s.parse().expect("an id"))
+}
+
+fn any_spec() -> impl Strategy<Value = JobSpec> {
+    (
+        (
+            any_id(),
+            "[a-z]{1,9}",
+            "[a-z]{1,9}",
+            0..3u8,
+            0..4u8,
+            1..=MOST_TASKS,
+        ),
+        (1..64u32, 0..8u32, 0..512u32, any::<[bool; 3]>()),
+        (
+            proptest::option::of(proptest::collection::vec("[a-z0-9]{1,5}", 1..4)),
+            proptest::option::of("[a-z]{1,4}"),
+            0.0..9e5f64,
+            proptest::option::of(0.0..9e5f64),
+        ),
+    )
+        .prop_map(
+            |((id, class, team, k, p, tasks), (cpus, gpus, mem, b), (types, zone, est, due))| JobSpec {
+                id,
+                class,
+                team,
+                kind: [Kind::Array, Kind::Service, Kind::Gang][k as usize],
+                priority: [
+                    Priority::Low,
+                    Priority::Normal,
+                    Priority::High,
+                    Priority::Production,
+                ][p as usize],
+                tasks,
+                cpus: f64::from(cpus) / 4.0,
+                gpus: f64::from(gpus),
+                memory_gb: f64::from(mem) / 8.0,
+                image: "img-07".into(),
+                image_gb: 6.2,
+                types,
+                zone,
+                one_zone: b[0],
+                spread: b[1],
+                spot: b[2],
+                estimate_s: est,
+                checkpoint_s: 30.0,
+                save_s: 4.0,
+                deadline_s: due,
+            },
+        )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn submissions_survive_the_wire(spec in any_spec()) {
+        prop_assert_eq!(spec.check(), Ok(()));
+        let text = serde_json::to_string(&spec).expect("json");
+        prop_assert_eq!(serde_json::from_str::<JobSpec>(&text).expect("read again"), spec);
+    }
+
+    #[test]
+    fn a_submission_without_a_required_field_is_refused(spec in any_spec(), at in 0usize..17) {
+        let mut v = serde_json::to_value(&spec).expect("json");
+        let o = v.as_object_mut().expect("an object");
+        let optional = ["rigs", "yard", "due_s"];
+        let field: Vec<String> = o.keys().filter(|k| !optional.contains(&k.as_str())).cloned().collect();
+        o.remove(&field[at % field.len()]);
+        prop_assert!(serde_json::from_value::<JobSpec>(v).is_err());
+    }
+
+    #[test]
+    fn ids_are_digits_after_job(text in "(job-)?[0-9a-z/]{0,20}") {
+        let good = text.strip_prefix("job-").is_some_and(|d| {
+            (1..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit())
+        });
+        match text.parse::<JobId>() {
+            Ok(id) => { prop_assert!(good); prop_assert_eq!(id.to_string(), text); }
+            Err(_) => prop_assert!(!good),
+        }
+    }
+
+    #[test]
+    fn sets_survive_their_pages(len in 1u32..30_000, some in proptest::collection::vec(any::<u32>(), 0..200)) {
+        let mut a = BitSet::new(len);
+        for i in some { a.insert(i % len); }
+        let mut b = BitSet::new(len);
+        for p in 0..BitSet::pages(len) {
+            let text = a.page(p);
+            prop_assert!(text.len() <= (PAGE / 4) as usize, "a page fits a value");
+            prop_assert!(b.merge_page(p, &text));
+        }
+        prop_assert_eq!(&a, &b);
+        prop_assert_eq!(a.iter().count() as u32, a.count());
+        prop_assert_eq!(a.iter().next(), a.first());
+    }
+}
+
+#[test]
+fn the_protocols_examples_are_read() {
+    let spec: JobSpec = serde_json::from_str(
+        r#"{"name_id":"job-000412","lot_class":"train","desk":"vision","sort":"batch","urgency":"high","lots":16,
+        "cpus":8.0,"accelerators":1.0,"memory_gb":64.0,"kit":"img-07","size_gb":6.2,"rigs":["g8"],"yard":null,
+        "one_zone":true,"spread":false,"loaners":true,"expected_s":240.0,"tally_s":30.0,"stow_s":4.0,
+        "due_s":900.0,"new_field":[1]}"#,
+    )
+    .expect("a submission");
+    assert_eq!(
+        (spec.tasks, spec.zone.clone(), spec.priority),
+        (16, None, Priority::High)
+    );
+    let report: Report = serde_json::from_str(
+        r#"{"rack":"i-000231","endpoint":"10.1.0.232:9000","rig":"g8","yard":"a","loaners":true,
+        "tenure":1,"tick":88,"gavel":41,"recall_s":null,
+        "lots":[{"lot":"job-000412/3","try":2,"standing":"running"},
+                {"lot":"job-000398/0","try":1,"standing":"ended","cause":"done"},
+                {"lot":"job-000398/1","try":1,"standing":"ended","cause":"a_new_reason"}]}"#,
+    )
+    .expect("a report");
+    assert_eq!(report.tasks[1].why, Some(Why::Done));
+    assert_eq!(
+        report.tasks[2].why,
+        Some(Why::Other),
+        "an unknown reason is no reason to drop a report"
+    );
+    let stop = Command::Stop {
+        task: report.tasks[0].task,
+        attempt: 1,
+        grace_s: 10.0,
+    };
+    assert_eq!(
+        serde_json::to_string(&stop).expect("json"),
+        r#"{"order":"kill","lot":"job-000412/3","try":1,"leeway_s":10.0}"#
+    );
+}
+
+#[test]
+fn values_out_of_range_are_named() {
+    let good = support::job(1, 4, 2.0);
+    let mut bad = good.clone();
+    bad.tasks = MOST_TASKS + 1;
+    assert_eq!(bad.check(), Err("lots"));
+    let mut bad = good.clone();
+    bad.cpus = 0.0;
+    assert_eq!(bad.check(), Err("cpus"));
+    let mut bad = good;
+    bad.estimate_s = -1.0;
+    assert_eq!(bad.check(), Err("expected_s"));
+}
+
+#[test]
+fn settings_ignore_the_unknown_and_name_the_wrong() {
+    let p = support::platform();
+    assert_eq!(p.params.workers.lease, std::time::Duration::from_secs(20));
+    assert_eq!(p.params.teams[1].cpus_max, 0.0, "0 means none");
+    for (from, to, field) in [
+        ("lease_s = 20.0", "lease_s = -1.0", "cluster.workers.lease_s"),
+        ("lease_s = 20.0", "", "lease_s"),
+        ("cancel_s = 40.0", "cancel_s = 10.0", "cluster.workers.cancel_s"),
+        ("txn_ops = 12", "txn_ops = \"many\"", "cluster.state.txn_ops"),
+        ("name = \"blue\"", "name = \"red\"", "cluster.teams[1].name"),
+        ("share = 0.9", "share = 9.0", "cluster.objectives[0].share"),
+        ("127.0.0.1:4", "localhost", "services.cloud"),
+    ] {
+        let text = support::SETTINGS.replace(from, to);
+        let e = Platform::parse(&text, "test").expect_err(field).to_string();
+        assert!(e.contains(field), "{e} should name {field}");
+        assert_eq!(e.lines().count(), 1, "one line: {e}");
+    }
+    // Optional tables may be missing.
+    let text = support::SETTINGS.split("[cluster.state]").next().expect("text");
+    assert!(Platform::parse(text, "test").is_ok());
+}
+
+#[test]
+fn properties_are_checked() {
+    let t = Tuning::parse(b"# ours\nleader.hold_ms = 2500\nfleet.warm: 0.5\n", "test").expect("good");
+    assert_eq!((t.hold.as_millis(), t.warm), (2500, 0.5));
+    for (text, key) in [
+        ("leader.hold_ms=soon", "leader.hold_ms"),
+        ("fleet.warm=-1", "fleet.warm"),
+        ("fleet.wram=1", "fleet.wram"),
+    ] {
+        let e = Tuning::parse(text.as_bytes(), "test")
+            .expect_err(text)
+            .to_string();
+        assert!(e.contains(key), "{e}");
+    }
+}
--- /dev/null
+++ b/tests/planner.rs
@@ -0,0 +1,441 @@
+//! PV-EASY: its invariants under generated clusters, and its steps one by one.
+
+mod support;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bitternfold::core::model::{admissible, type_allowed, SlotState, Unfit};
+use bitternfold::core::plan::rank;
+use bitternfold::core::Model;
+use bitternfold::wire::*;
+use proptest::prelude::*;
+use support::*;
+
+/// Adds a machine that may be placed on.
+fn add(m: &mut Model, id: &str, kind: &str, zone: &str, spot: bool, now: std::time::Instant) {
+    m.heard(&report(id, kind, zone, spot, m.term, 1), now);
+}
+
+fn tasks_on(m: &Model, id: &str) -> Vec<String> {
+    m.machines[&MachineId::from(id)]
+        .slots
+        .keys()
+        .map(|t| t.to_string())
+        .collect()
+}
+
+/// Marks all that is placed as running since `now`.
+fn run_all(m: &mut Model, now: std::time::Instant) {
+    for s in m.machines.values_mut().flat_map(|m| m.slots.values_mut()) {
+        if s.state == SlotState::Placed {
+            s.state = SlotState::Running;
+            s.running_since = Some(now);
+            s.start_token = m.term << 20;
+        }
+    }
+}
+
+fn check_placements(m: &Model) -> Result<(), TestCaseError> {
+    let mut cpus: HashMap<String, f64> = HashMap::new();
+    let mut places: HashMap<TaskId, u32> = HashMap::new();
+    for mac in m.machines.values() {
+        let kind = m
+            .types
+            .iter()
+            .find(|t| t.name == mac.machine_type)
+            .expect("a type");
+        let (mut c, mut mem) = (0.0, 0.0);
+        for (task, s) in mac.slots.iter().filter(|(_, s)| s.takes_room()) {
+            let spec = s.spec.as_ref().expect("a job");
+            *places.entry(*task).or_default() += 1;
+            *cpus.entry(spec.team.clone()).or_default() += spec.cpus;
+            if s.stop.is_none() {
+                c += spec.cpus;
+                mem += spec.memory_gb;
+            }
+            prop_assert!(type_allowed(spec, kind), "forbidden type");
+            prop_assert!(spec.spot || !mac.spot, "forbidden kind");
+            prop_assert!(
+                spec.zone.as_ref().is_none_or(|z| *z == mac.zone),
+                "forbidden zone"
+            );
+        }
+        prop_assert!(
+            c <= kind.cpus + 1e-6 && mem <= kind.memory_gb + 1e-6,
+            "machine overfull"
+        );
+    }
+    prop_assert!(places.values().all(|n| *n == 1), "a task in two places");
+    prop_assert!(
+        cpus.get("red").copied().unwrap_or(0.0) <= 40.0 + 1e-6,
+        "above the team's limit"
+    );
+    for (id, job) in &m.jobs {
+        let mut zones: HashMap<&str, u32> = HashMap::new();
+        for mac in job.places.values().flatten() {
+            *zones.entry(m.machines[mac].zone.as_str()).or_default() += 1;
+        }
+        if job.spec.one_zone {
+            prop_assert!(zones.len() <= 1, "{id} in two zones");
+        }
+        if job.spec.spread {
+            prop_assert!(
+                zones.values().all(|n| *n <= job.spec.tasks.div_ceil(2)),
+                "{id} not spread"
+            );
+        }
+        if job.spec.kind == Kind::Gang {
+            let placed = job.places.len() as u32;
+            prop_assert!(placed == 0 || placed == job.spec.tasks, "{id} is placed in part");
+        }
+    }
+    Ok(())
+}
+
+fn any_job(n: u32) -> impl Strategy<Value = JobSpec> {
+    (
+        1..9u32,
+        1..20u32,
+        0..3u8,
+        0..4u8,
+        any::<[bool; 5]>(),
+        0..4u8,
+        1..200u32,
+    )
+        .prop_map(move |(tasks, cpus, kind, prio, b, place, est)| {
+            let mut j = job(n, tasks, f64::from(cpus) / 2.0);
+            j.kind = [Kind::Array, Kind::Service, Kind::Gang][kind as usize];
+            j.priority = [
+                Priority::Low,
+                Priority::Normal,
+                Priority::High,
+                Priority::Production,
+            ][prio as usize];
+            j.spot = b[0];
+            j.one_zone = b[1] && b[2];
+            j.spread = b[1] && !b[2] && b[4];
+            j.team = if b[3] { "red" } else { "blue" }.into();
+            j.zone = (place == 1).then(|| "south".into());
+            j.types = (place == 2).then(|| vec!["large".into()]);
+            j.estimate_s = f64::from(est);
+            j
+        })
+}
+
+fn any_jobs() -> impl Strategy<Value = Vec<JobSpec>> {
+    (1..12u32).prop_flat_map(|n| (0..n).map(any_job).collect::<Vec<_>>())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Never above a limit, never a forbidden place; only shadow is preempted,
+    /// and only for a job that outranks it.
+    #[test]
+    fn rounds_keep_the_rules(
+        first in any_jobs(),
+        second in any_jobs(),
+        machines in proptest::collection::vec(any::<[bool; 3]>(), 1..7),
+    ) {
+        let now = start();
+        let mut m = model(5);
+        for (i, [large, south, spot]) in machines.iter().enumerate() {
+            let (kind, zone) = (if *large { "large" } else { "small" }, if *south { "south" } else { "north" });
+            add(&mut m, &format!("i-{i}"), kind, zone, *spot, now);
+        }
+        for j in first { m.add_job(record(j), now); }
+        m.plan(now);
+        check_placements(&m)?;
+        run_all(&mut m, now);
+        let later = now + secs(2);
+        for mut j in second {
+            j.id = format!("{}9", j.id).parse().expect("an id");
+            m.add_job(record(j), later);
+        }
+        let shadow_before: HashMap<TaskId, bool> = m.machines.values()
+            .flat_map(|x| x.slots.iter().map(|(t, s)| (*t, s.backfilled))).collect();
+        let waiting: HashMap<JobId, u32> = m.jobs.iter().map(|(id, j)| (*id, j.waiting.count())).collect();
+        m.plan(later);
+        check_placements(&m)?;
+        for (task, s) in m.machines.values().flat_map(|x| &x.slots) {
+            if s.stop.is_none() { continue; }
+            if m.jobs[&task.job].broken_gang() { continue; }
+            prop_assert!(shadow_before[task], "{task} was sunny and is stopped");
+            let own = rank(&m.jobs[&task.job]);
+            let for_better = m.jobs.iter().any(|(id, j)| rank(j) < own && j.waiting.count() < waiting[id]);
+            prop_assert!(for_better, "{task} is stopped for nobody above it");
+        }
+    }
+}
+
+#[test]
+fn jobs_start_by_priority_then_arrival() {
+    let now = start();
+    let mut m = model(1);
+    add(&mut m, "i-1", "small", "north", false, now);
+    let mut low = job(1, 1, 8.0);
+    low.priority = Priority::Low;
+    m.add_job(record(low), now);
+    m.add_job(record(job(2, 1, 8.0)), now + secs(1));
+    m.add_job(record(job(3, 1, 8.0)), now);
+    m.plan(now + secs(1));
+    assert_eq!(tasks_on(&m, "i-1"), ["job-000003/0"]);
+}
+
+#[test]
+fn a_job_at_its_teams_limit_is_skipped_not_the_head() {
+    let now = start();
+    let mut m = model(1);
+    add(&mut m, "i-1", "large", "north", false, now);
+    add(&mut m, "i-2", "large", "north", false, now);
+    let mut big = job(1, 8, 8.0);
+    big.team = "red".into();
+    m.add_job(record(big), now);
+    m.add_job(record(job(2, 3, 8.0)), now);
+    let r = m.plan(now);
+    assert_eq!(
+        (r.in_order, r.backfilled),
+        (8, 0),
+        "5 of red's (limit 40), then 3 of blue's"
+    );
+}
+
+/// One large machine: 24 CPUs sunny until 60 s, 8 free; the head wants 16.
+fn blocked() -> (Model, std::time::Instant) {
+    let now = start();
+    let mut m = model(1);
+    add(&mut m, "i-1", "large", "north", false, now);
+    m.add_job(record(job(1, 3, 8.0)), now);
+    m.plan(now);
+    run_all(&mut m, now);
+    m.add_job(record(job(2, 1, 16.0)), now + secs(1));
+    (m, now + secs(1))
+}
+
+#[test]
+fn backfilling_goes_by_predicted_finish_within_the_reservation_first() {
+    let (mut m, now) = blocked();
+    let mut long = job(3, 1, 8.0);
+    long.estimate_s = 500.0;
+    m.add_job(record(long), now);
+    let mut short = job(4, 1, 8.0);
+    short.estimate_s = 20.0;
+    m.add_job(record(short), now + secs(1));
+    let r = m.plan(now + secs(1));
+    assert_eq!((r.in_order, r.backfilled, r.preempted), (0, 1, 0));
+    assert!(
+        tasks_on(&m, "i-1").contains(&"job-000004/0".into()),
+        "the short one, though it came later"
+    );
+}
+
+#[test]
+fn leftover_room_goes_by_priority_whatever_the_prediction() {
+    let (mut m, now) = blocked();
+    let mut long = job(3, 1, 8.0);
+    long.estimate_s = 500.0;
+    m.add_job(record(long), now);
+    let r = m.plan(now);
+    assert_eq!(r.backfilled, 1);
+    assert!(m.machines[&MachineId::from("i-1")]
+        .slots
+        .values()
+        .any(|s| s.backfilled));
+}
+
+#[test]
+fn shadow_is_killed_when_that_starts_the_head_at_once_and_only_then() {
+    let (mut m, now) = blocked();
+    let mut long = job(3, 1, 8.0);
+    long.estimate_s = 500.0;
+    m.add_job(record(long), now);
+    m.plan(now);
+    run_all(&mut m, now);
+    // Killing the shadow gives 8 CPUs: not enough for the head's 16.
+    assert_eq!(m.plan(now + secs(1)).preempted, 0);
+    // A sunny task ends: now the shadow's 8 and the free 8 start the head.
+    let id = MachineId::from("i-1");
+    let task = "job-000001/0".parse().expect("a task");
+    let attempt = m.machines[&id].slots[&task].attempt;
+    let mut r = report("i-1", "large", "north", false, 1, 2);
+    for (t, s) in &m.machines[&id].slots {
+        r.tasks.push(ReportedTask {
+            task: *t,
+            attempt: s.attempt,
+            state: if s.attempt == attempt && *t == task {
+                TaskState::Exited
+            } else {
+                TaskState::Running
+            },
+            why: (*t == task).then_some(Why::Done),
+            saved: None,
+        });
+    }
+    m.heard(&r, now + secs(2));
+    let round = m.plan(now + secs(2));
+    assert_eq!((round.preempted, round.in_order), (1, 1));
+    // The stop goes out before the start, in one command.
+    let w = m.take_writes(now + secs(2));
+    w.iter().for_each(|w| m.written(w, true, now + secs(2)));
+    let (_, c) = m.command(&id, now + secs(2)).expect("a command");
+    let stop = c
+        .commands
+        .iter()
+        .position(|c| matches!(c, Command::Stop { .. }))
+        .expect("a stop");
+    let start = c
+        .commands
+        .iter()
+        .position(|c| matches!(c, Command::Start { .. }))
+        .expect("a start");
+    assert!(stop < start);
+}
+
+#[test]
+fn the_last_model_multiplies_the_estimate_and_is_capped_by_it() {
+    let mut m = model(1);
+    let j = job(1, 1, 1.0);
+    assert_eq!(m.predict(&j), secs(60), "no finished job of the team yet");
+    m.ratios.insert("blue".into(), 0.5);
+    assert_eq!(m.predict(&j), secs(30));
+    m.ratios.insert("blue".into(), 3.0);
+    assert_eq!(m.predict(&j), secs(60));
+}
+
+#[test]
+fn the_last_model_learns_from_done_only() {
+    // An instantly failing job must not make its team's long jobs look short.
+    let now = start();
+    let mut m = model(1);
+    add(&mut m, "i-1", "small", "north", false, now);
+    m.add_job(record(job(1, 1, 1.0)), now);
+    m.plan(now);
+    let id = MachineId::from("i-1");
+    let mut seq = 2;
+    for (why, ran, expect) in [(Why::Error, 0, None), (Why::Done, 30, Some(0.5))] {
+        let (task, slot) = m.machines[&id]
+            .slots
+            .iter()
+            .next()
+            .map(|(t, s)| (*t, s.attempt))
+            .expect("placed");
+        let mut r = report("i-1", "small", "north", false, 1, seq);
+        let base = now + secs(seq);
+        r.tasks = vec![ReportedTask {
+            task,
+            attempt: slot,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        }];
+        m.heard(&r, base);
+        r.seq += 1;
+        r.tasks[0].state = TaskState::Exited;
+        r.tasks[0].why = Some(why);
+        m.heard(&r, base + secs(ran));
+        r.seq += 1;
+        r.tasks.clear();
+        r.token = (1 << 20) + 900;
+        m.heard(&r, base + secs(ran));
+        seq = r.seq + 1;
+        let w = m.take_writes(base + secs(ran));
+        w.iter().for_each(|w| m.written(w, true, base));
+        assert_eq!(m.ratios.get("blue").copied(), expect);
+        m.plan(base + secs(ran));
+    }
+}
+
+#[test]
+fn a_gang_is_placed_whole_or_not_at_all() {
+    let now = start();
+    let mut m = model(1);
+    add(&mut m, "i-1", "small", "north", false, now);
+    let mut g = job(1, 3, 4.0);
+    g.kind = Kind::Gang;
+    m.add_job(record(g), now);
+    m.plan(now);
+    assert!(tasks_on(&m, "i-1").is_empty(), "two of three would fit");
+    add(&mut m, "i-2", "small", "south", false, now);
+    m.plan(now);
+    let attempts: std::collections::BTreeSet<u64> = m
+        .machines
+        .values()
+        .flat_map(|x| x.slots.values().map(|s| s.attempt))
+        .collect();
+    assert_eq!(m.jobs.values().next().expect("the job").places.len(), 3);
+    assert_eq!(attempts.len(), 1, "a gang's tasks share their attempt");
+}
+
+#[test]
+fn what_can_never_run_is_told_so() {
+    let m = model(1);
+    let teams = &m.config.teams;
+    let mut j = job(1, 6, 8.0);
+    assert_eq!(admissible(&j, teams, &m.types), Ok(()));
+    j.team = "red".into();
+    assert_eq!(
+        admissible(&j, teams, &m.types),
+        Ok(()),
+        "an array only needs room for one task"
+    );
+    j.kind = Kind::Service;
+    assert_eq!(
+        admissible(&j, teams, &m.types),
+        Err(Unfit::Limit),
+        "48 of 40 CPUs at once"
+    );
+    j.team = "green".into();
+    assert_eq!(admissible(&j, teams, &m.types), Err(Unfit::Team));
+    let mut big = job(2, 1, 8.0);
+    big.memory_gb = 64.5;
+    assert_eq!(admissible(&big, teams, &m.types), Err(Unfit::Type));
+}
+
+#[test]
+fn a_machine_that_fails_the_tasks_of_several_jobs_is_cordoned() {
+    let now = start();
+    let mut m = model(1);
+    add(&mut m, "i-1", "small", "north", false, now);
+    m.add_job(record(job(1, 1, 2.0)), now);
+    m.add_job(record(job(2, 1, 2.0)), now);
+    m.plan(now);
+    let id = MachineId::from("i-1");
+    let mut r = report("i-1", "small", "north", false, 1, 2);
+    r.tasks = m.machines[&id]
+        .slots
+        .iter()
+        .map(|(t, s)| ReportedTask {
+            task: *t,
+            attempt: s.attempt,
+            state: TaskState::Exited,
+            why: Some(Why::Error),
+            saved: None,
+        })
+        .collect();
+    m.heard(&r, now + secs(1));
+    assert!(m.machines[&id].cordoned);
+    add(&mut m, "i-2", "small", "north", false, now + secs(1));
+    m.plan(now + secs(1));
+    assert_eq!(tasks_on(&m, "i-2").len(), 2);
+}
+
+#[test]
+fn a_hundred_thousand_tasks_are_planned_in_little_time() {
+    let now = start();
+    let mut m = model(1);
+    for i in 0..40 {
+        add(&mut m, &format!("i-{i}"), "large", "north", true, now);
+    }
+    for n in 0..20 {
+        m.add_job(record(job(n, MOST_TASKS, 1.0)), now);
+    }
+    let r = m.plan(now);
+    assert_eq!(r.in_order + r.backfilled, 40 * 32);
+    let began = std::time::Instant::now();
+    for i in 0..10 {
+        m.plan(now + Duration::from_millis(i));
+    }
+    // Ten rounds that find nothing; the bound is far above what they take.
+    assert!(began.elapsed() < secs(20));
+}
--- /dev/null
+++ b/tests/safety.rs
@@ -0,0 +1,604 @@
+//! Election and evidence under lost, late, repeated and reordered messages:
+//! no task is in two places, no limit is passed, no state goes back, nothing
+//! of a cancelled job is started. Leaders come and go; what an earlier one has
+//! sent still arrives.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use bitternfold::core::record::{FinalRecord, JobRecord, MachineRecord};
+use bitternfold::core::store_plan::Write;
+use bitternfold::core::Model;
+use bitternfold::wire::*;
+use proptest::prelude::*;
+use support::*;
+
+/// A worker, as the protocol describes it.
+struct Worker {
+    id: MachineId,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<TaskId, (u64, TaskState, Option<Why>)>,
+    alive: bool,
+}
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: "small".into(),
+            zone: "north".into(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|(t, (a, s, w))| ReportedTask {
+                    task: *t,
+                    attempt: *a,
+                    state: *s,
+                    why: *w,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// Runs a command; the tasks that it started.
+    fn run(&mut self, c: &Commands) -> Vec<TaskId> {
+        if c.token < self.token || c.session != self.session {
+            return Vec::new();
+        }
+        self.token = c.token;
+        let mut started = Vec::new();
+        for c in &c.commands {
+            match *c {
+                Command::Start { task, attempt } => match self.tasks.get(&task) {
+                    Some((a, _, _)) if *a == attempt => {}
+                    Some((_, TaskState::Exited, _)) | None => {
+                        self.tasks.insert(task, (attempt, TaskState::Fetching, None));
+                        started.push(task);
+                    }
+                    Some(_) => {}
+                },
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(&task) {
+                        if t.0 == attempt && t.1 != TaskState::Exited {
+                            *t = (attempt, TaskState::Exited, Some(Why::Stopped));
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    if self
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|t| t.0 == attempt && t.1 == TaskState::Exited)
+                    {
+                        self.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+        started
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Command {
+        to: MachineId,
+        commands: Commands,
+        term: u64,
+    },
+    Answer {
+        from: MachineId,
+        report: Option<Report>,
+        term: u64,
+    },
+    Report(Report),
+    Write {
+        write: Write,
+        term: u64,
+    },
+    Wrote {
+        write: Write,
+        ok: bool,
+        term: u64,
+    },
+    /// A lease's reply, with its token.
+    Reply {
+        to: MachineId,
+        session: u64,
+        token: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Submit { tasks: u32, cpus: u32, red: bool },
+    Cancel(usize),
+    Report(usize),
+    Deliver(usize),
+    Repeat(usize),
+    Lose(usize),
+    Run(usize, u8),
+    Expire(usize),
+    Die(usize),
+    Release(usize),
+    Elect,
+    Wait(u64),
+}
+
+struct World {
+    now: Instant,
+    term: u64,
+    jobs: BTreeMap<JobId, JobRecord>,
+    finals: BTreeMap<JobId, FinalRecord>,
+    machines: BTreeMap<MachineId, MachineRecord>,
+    model: Model,
+    workers: Vec<Worker>,
+    mail: Vec<Message>,
+    next_job: u32,
+    submitted: Vec<JobId>,
+    told: BTreeMap<JobId, Standing>,
+}
+
+impl World {
+    fn new() -> Self {
+        let workers = (0..4)
+            .map(|i| Worker {
+                id: format!("i-{i}").as_str().into(),
+                spot: i % 2 == 0,
+                session: 1,
+                seq: 0,
+                token: 0,
+                tasks: BTreeMap::new(),
+                alive: true,
+            })
+            .collect();
+        Self {
+            now: start(),
+            term: 1,
+            jobs: BTreeMap::new(),
+            finals: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            model: model(1),
+            workers,
+            mail: Vec::new(),
+            next_job: 0,
+            submitted: Vec::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    fn worker(&mut self, id: &MachineId) -> Option<&mut Worker> {
+        self.workers.iter_mut().find(|w| w.id == *id)
+    }
+
+    /// One round of the leader.
+    fn round(&mut self) {
+        self.model.plan(self.now);
+        let term = self.term;
+        for write in self.model.take_writes(self.now) {
+            self.mail.push(Message::Write { write, term });
+        }
+        let ids: Vec<MachineId> = self.model.machines.keys().cloned().collect();
+        for id in ids {
+            if let Some((_, commands)) = self.model.command(&id, self.now) {
+                for c in &commands.commands {
+                    if let Command::Start { task, .. } = c {
+                        assert!(
+                            !matches!(self.told.get(&task.job), Some(Standing::Cancelled)),
+                            "{task} of a cancelled job is started"
+                        );
+                    }
+                }
+                self.mail.push(Message::Command {
+                    to: id,
+                    commands,
+                    term,
+                });
+            }
+        }
+    }
+
+    fn store(&mut self, w: &Write) {
+        match w {
+            Write::Machine { id, record, .. } => drop(self.machines.insert(id.clone(), record.clone())),
+            Write::NoMachine { id } => drop(self.machines.remove(id)),
+            Write::Job {
+                id, record: Some(r), ..
+            } => drop(self.jobs.insert(*id, (**r).clone())),
+            Write::Final { id, record, .. } => {
+                self.jobs.remove(id);
+                if let Some(old) = self.finals.insert(*id, record.clone()) {
+                    assert_eq!(old.state, record.state, "a final state changed");
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn deliver(&mut self, m: Message) {
+        match m {
+            Message::Command { to, commands, term } => {
+                let Some(w) = self.worker(&to).filter(|w| w.alive) else {
+                    self.mail.push(Message::Answer {
+                        from: to,
+                        report: None,
+                        term,
+                    });
+                    return;
+                };
+                let started = w.run(&commands);
+                let report = Some(w.report());
+                for t in started {
+                    self.no_double(t);
+                }
+                self.mail.push(Message::Answer {
+                    from: to,
+                    report,
+                    term,
+                });
+            }
+            Message::Answer { from, report, term } if term == self.term => {
+                self.model.commanded(&from, report.as_ref(), self.now);
+            }
+            Message::Report(r) => {
+                self.model.heard(&r, self.now);
+                if let Some(token) = self.model.reply_token(&r.machine, r.token) {
+                    self.mail.push(Message::Reply {
+                        to: r.machine,
+                        session: r.session,
+                        token,
+                    });
+                }
+            }
+            Message::Reply { to, session, token } => {
+                if let Some(w) = self
+                    .worker(&to)
+                    .filter(|w| w.session == session && token >= w.token)
+                {
+                    w.token = token;
+                }
+            }
+            Message::Write { write, term } => {
+                // Guarded by the leader's key: an earlier leader's is refused.
+                let ok = term == self.term;
+                if ok {
+                    self.store(&write);
+                }
+                self.mail.push(Message::Wrote { write, ok, term });
+            }
+            Message::Wrote { write, ok, term } if term == self.term => {
+                if let (true, Write::Final { id, record, .. }) = (ok, &write) {
+                    self.tell(*id, record.state);
+                }
+                self.model.written(&write, ok, self.now);
+            }
+            _ => {}
+        }
+    }
+
+    fn tell(&mut self, id: JobId, s: Standing) {
+        if let Some(old) = self.told.insert(id, s) {
+            if matches!(old, Standing::Done | Standing::Cancelled) {
+                assert_eq!(old, s, "{id} went back");
+            }
+        }
+        if s == Standing::Done {
+            let f = &self.finals[&id];
+            assert_eq!(f.done, self.spec_tasks(id), "{id} is called done too early");
+        }
+    }
+
+    fn spec_tasks(&self, id: JobId) -> u32 {
+        self.model
+            .jobs
+            .get(&id)
+            .map_or_else(|| self.finals[&id].done, |j| j.spec.tasks)
+    }
+
+    /// The task that was just started is live on one machine only.
+    fn no_double(&self, task: TaskId) {
+        let live: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|w| w.alive && w.tasks.get(&task).is_some_and(|t| t.1 != TaskState::Exited))
+            .map(|w| w.id.clone())
+            .collect();
+        assert!(live.len() <= 1, "{task} is on {live:?}");
+        // Red's tasks use no more than 40 CPUs, wherever they are.
+        let cpus: f64 = self
+            .workers
+            .iter()
+            .filter(|w| w.alive)
+            .flat_map(|w| &w.tasks)
+            .filter(|(_, t)| t.1 != TaskState::Exited)
+            .filter_map(|(t, _)| self.jobs.get(&t.job).or(None).map(|j| &j.spec))
+            .filter(|s| s.team == "red")
+            .map(|s| s.cpus)
+            .sum();
+        assert!(cpus <= 40.0, "red uses {cpus} CPUs");
+    }
+
+    /// A new leader reads what is stored; the old one's mail stays on its way.
+    fn elect(&mut self) {
+        self.term += 1;
+        let mut m = model(self.term);
+        for r in self.jobs.values() {
+            m.add_job(r.clone(), self.now);
+        }
+        for (id, r) in &self.machines {
+            m.load_machine(id.clone(), r.clone(), self.now);
+        }
+        self.model = m;
+    }
+
+    fn step(&mut self, op: Op) {
+        let n = self.workers.len();
+        match op {
+            Op::Submit { tasks, cpus, red } => {
+                self.next_job += 1;
+                let mut spec = job(self.next_job, tasks, f64::from(cpus));
+                if red {
+                    spec.team = "red".into();
+                }
+                let rec = record(spec);
+                self.submitted.push(rec.spec.id);
+                self.jobs.insert(rec.spec.id, rec.clone());
+                self.model.add_job(rec, self.now);
+            }
+            Op::Cancel(i) if !self.submitted.is_empty() => {
+                let id = self.submitted[i % self.submitted.len()];
+                let open = self
+                    .model
+                    .jobs
+                    .get(&id)
+                    .is_some_and(|j| !j.complete() && !j.cancelled);
+                if open {
+                    self.model.cancel(id, self.now);
+                    if let Some(r) = self.jobs.get_mut(&id) {
+                        r.cancelled = true;
+                    }
+                    self.model.cancel_stored(id);
+                    self.tell(id, Standing::Cancelled);
+                }
+            }
+            Op::Report(i) => {
+                let w = &mut self.workers[i % n];
+                if w.alive {
+                    let r = w.report();
+                    self.mail.push(Message::Report(r));
+                }
+            }
+            Op::Deliver(i) if !self.mail.is_empty() => {
+                let m = self.mail.remove(i % self.mail.len());
+                self.deliver(m);
+            }
+            // Reports may come twice; commands and writes may not.
+            Op::Repeat(i) if !self.mail.is_empty() => {
+                if let m @ Message::Report(_) = self.mail[i % self.mail.len()].clone() {
+                    self.deliver(m);
+                }
+            }
+            Op::Lose(i) if !self.mail.is_empty() => {
+                let i = i % self.mail.len();
+                match self.mail[i].clone() {
+                    // Given up by the leader, yet it may still arrive.
+                    Message::Command { to, term, .. } => {
+                        self.mail.push(Message::Answer {
+                            from: to,
+                            report: None,
+                            term,
+                        });
+                    }
+                    Message::Report(_) | Message::Reply { .. } => drop(self.mail.remove(i)),
+                    Message::Answer { from, term, .. } => {
+                        self.mail[i] = Message::Answer {
+                            from,
+                            report: None,
+                            term,
+                        };
+                    }
+                    _ => {}
+                }
+            }
+            Op::Run(i, how) => {
+                let w = &mut self.workers[i % n];
+                for t in w.tasks.values_mut() {
+                    *t = match (t.1, how % 5) {
+                        (TaskState::Fetching, _) => (t.0, TaskState::Running, None),
+                        (TaskState::Running, 0..=2) => (t.0, TaskState::Exited, Some(Why::Done)),
+                        (TaskState::Running, 3) => (t.0, TaskState::Exited, Some(Why::Error)),
+                        _ => *t,
+                    };
+                }
+            }
+            Op::Expire(i) => {
+                let w = &mut self.workers[i % n];
+                w.tasks.clear();
+                w.session += 1;
+                w.seq = 0;
+            }
+            Op::Die(i) => self.workers[i % n].alive = false,
+            Op::Release(i) => {
+                // The cloud's 200: the machine is gone, another takes its name's place.
+                let id = self.workers[i % n].id.clone();
+                if self.model.machines.contains_key(&id) {
+                    self.workers[i % n].alive = false;
+                    self.model.released(&id, self.now);
+                    let fresh = format!("{id}x");
+                    if fresh.len() < 9 {
+                        self.workers.push(Worker {
+                            id: fresh.as_str().into(),
+                            spot: false,
+                            session: 1,
+                            seq: 0,
+                            token: 0,
+                            tasks: BTreeMap::new(),
+                            alive: true,
+                        });
+                    }
+                }
+            }
+            Op::Elect => self.elect(),
+            Op::Wait(ms) => self.now += Duration::from_millis(ms),
+            _ => {}
+        }
+        self.round();
+    }
+}
+
+fn any_op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        2 => (1..5u32, 1..9u32, any::<bool>()).prop_map(|(tasks, cpus, red)| Op::Submit { tasks, cpus, red }),
+        1 => any::<usize>().prop_map(Op::Cancel),
+        6 => any::<usize>().prop_map(Op::Report),
+        20 => any::<usize>().prop_map(Op::Deliver),
+        2 => any::<usize>().prop_map(Op::Repeat),
+        2 => any::<usize>().prop_map(Op::Lose),
+        4 => (any::<usize>(), any::<u8>()).prop_map(|(i, h)| Op::Run(i, h)),
+        1 => any::<usize>().prop_map(Op::Expire),
+        1 => any::<usize>().prop_map(Op::Release),
+        1 => any::<usize>().prop_map(Op::Die),
+        1 => Just(Op::Elect),
+        3 => (1..2000u64).prop_map(Op::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400, max_shrink_iters: 4000, failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_failure_puts_a_task_in_two_places(ops in proptest::collection::vec(any_op(), 50..400)) {
+        let mut w = World::new();
+        for op in ops {
+            w.step(op);
+        }
+    }
+
+    /// Once the trouble ends, every job that isn't cancelled gets done.
+    #[test]
+    fn all_work_is_done_in_the_end(ops in proptest::collection::vec(any_op(), 20..200)) {
+        let mut w = World::new();
+        for op in ops {
+            if !matches!(op, Op::Die(_)) {
+                w.step(op);
+            }
+        }
+        for i in 0..4000usize {
+            let op = match i % 8 {
+                0 => Op::Report(i / 8),
+                1 => Op::Run(i / 8, 0),
+                7 => Op::Wait(400),
+                _ => Op::Deliver(0),
+            };
+            w.step(op);
+        }
+        let open: BTreeSet<_> = w.jobs.keys().collect();
+        prop_assert!(open.is_empty(), "left over: {:?}, mail {}", open, w.mail.len());
+    }
+}
+
+#[test]
+fn a_report_older_than_the_last_start_settles_nothing() {
+    // A start with no answer may still arrive: only a token at least as high
+    // as the start's, in the worker's own words, shows that it can't.
+    let now = start();
+    let mut m = model(7);
+    let id = MachineId::from("i-1");
+    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.add_job(record(job(1, 1, 4.0)), now);
+    m.plan(now);
+    let w = m.take_writes(now);
+    assert!(
+        m.command(&id, now).is_none_or(|(_, c)| c.commands.is_empty()),
+        "not before it is stored"
+    );
+    m.commanded(&id, None, now);
+    w.iter().for_each(|w| m.written(w, true, now));
+    let (_, c) = m.command(&id, now + secs(1)).expect("the start");
+    assert!(matches!(c.commands[..], [Command::Start { .. }]));
+    m.commanded(&id, None, now + secs(2));
+    m.heard(&report("i-1", "small", "north", false, 7, 2), now + secs(2));
+    assert_eq!(
+        m.machines[&id].slots.len(),
+        1,
+        "unanswered is unknown, not failed"
+    );
+    let mut later = report("i-1", "small", "north", false, 7, 3);
+    later.token = c.token;
+    m.heard(&later, now + secs(3));
+    assert!(m.machines[&id].slots.is_empty());
+}
+
+#[test]
+fn a_reply_never_carries_the_token_of_a_command_on_its_way() {
+    // Else the worker would report that token though the command, and the
+    // start in it, is still to come, and is accepted with an equal token.
+    let now = start();
+    let mut m = model(7);
+    let id = MachineId::from("i-1");
+    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.machines.get_mut(&id).expect("known").probe = true;
+    let (_, c) = m.command(&id, now).expect("a command");
+    assert!(m.reply_token(&id, 7 << 20).expect("a token") < c.token);
+    let fresh = m.reply_token(&id, 3 << 20).expect("a token");
+    assert!(
+        fresh > c.token,
+        "a worker of an earlier term gets one that no command carries"
+    );
+    assert_eq!(
+        m.reply_token(&id, 8 << 20),
+        None,
+        "a later leader has spoken: no answer"
+    );
+}
+
+#[test]
+fn an_outcome_is_stored_before_the_worker_forgets_it() {
+    let now = start();
+    let mut m = model(7);
+    let id = MachineId::from("i-1");
+    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.add_job(record(job(1, 2, 4.0)), now);
+    m.plan(now);
+    let w = m.take_writes(now);
+    w.iter().for_each(|w| m.written(w, true, now));
+    let (_, c) = m.command(&id, now).expect("starts");
+    let mut r = report("i-1", "small", "north", false, 7, 2);
+    r.token = c.token;
+    r.tasks = m.machines[&id]
+        .slots
+        .iter()
+        .map(|(t, s)| ReportedTask {
+            task: *t,
+            attempt: s.attempt,
+            state: if t.index == 0 {
+                TaskState::Exited
+            } else {
+                TaskState::Running
+            },
+            why: (t.index == 0).then_some(Why::Done),
+            saved: None,
+        })
+        .collect();
+    m.commanded(&id, Some(&r), now);
+    let w = m.take_writes(now);
+    assert!(m.command(&id, now).is_none(), "nothing to say yet");
+    w.iter().for_each(|w| m.written(w, true, now));
+    let (_, c) = m.command(&id, now).expect("a command");
+    assert!(matches!(c.commands[..], [Command::Forget { .. }]));
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,149 @@
+//! What several tests share: settings, jobs and machines of a made-up site.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bitternfold::core::model::Config;
+use bitternfold::core::record::JobRecord;
+use bitternfold::core::Model;
+use bitternfold::settings::{Platform, Tuning};
+use bitternfold::wire::{JobSpec, Kind, MachineType, Priority, Report};
+
+pub const SETTINGS: &str = r#"
+host_name = "heron-0"
+zone = "north"
+api_addr = "127.0.0.1:1"
+back = "127.0.0.1:2"
+something_new = { deep = [1, 2] }
+
+[[seeds]]
+host_name = "heron-1"
+zone = "south"
+endpoint = "127.0.0.1:3"
+
+[services]
+cloud = "127.0.0.1:4"
+state = "127.0.0.1:5"
+
+[cluster]
+initial_size = 2
+zones = ["north", "south"]
+clock_error_ms = 25.0
+
+[[cluster.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 40.0
+
+[[cluster.teams]]
+name = "blue"
+
+[[cluster.objectives]]
+kind = "wait"
+class = "quick"
+within_s = 3.0
+share = 0.9
+
+[cluster.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 40.0
+
+[cluster.state]
+rps = 200.0
+write_rps = 100.0
+value_kb = 4.0
+txn_ops = 12
+
+[cluster.cloud]
+rps = 10.0
+list_lag_s = 4.0
+"#;
+
+pub fn platform() -> Platform {
+    Platform::parse(SETTINGS, "test").expect("valid settings")
+}
+
+pub fn model(term: u64) -> Model {
+    let mut m = Model::new(Arc::new(Config::new(&platform(), Tuning::default())), term);
+    m.types = types();
+    m
+}
+
+pub fn types() -> Vec<MachineType> {
+    [("small", 8.0, 16.0, 0.4), ("large", 32.0, 64.0, 1.5)]
+        .into_iter()
+        .map(|(name, cpus, memory_gb, price)| MachineType {
+            name: name.into(),
+            cpus,
+            gpus: 0.0,
+            memory_gb,
+            cache_gb: 40.0,
+            fetch_gb_per_s: 1.0,
+            price,
+            spot_price: price / 3.0,
+            boot_s: 20.0,
+            zones: vec!["north".into(), "south".into()],
+        })
+        .collect()
+}
+
+pub fn job(n: u32, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        id: format!("job-{n:06}").parse().expect("an id"),
+        class: "plain".into(),
+        team: "blue".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".into(),
+        image_gb: 0.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 60.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+pub fn record(spec: JobSpec) -> JobRecord {
+    JobRecord {
+        spec,
+        at: 0,
+        cancelled: false,
+        done: String::new(),
+    }
+}
+
+/// A report of an idle machine that has seen a token of the term.
+pub fn report(machine: &str, machine_type: &str, zone: &str, spot: bool, term: u64, seq: u64) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: "127.0.0.1:9".into(),
+        machine_type: machine_type.into(),
+        zone: zone.into(),
+        spot,
+        session: 1,
+        seq,
+        token: term << 20,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+pub fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+pub fn start() -> Instant {
+    // Well after the clock's zero, so that times before it exist.
+    Instant::now() + Duration::from_secs(100_000)
+}
