--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,238 @@
+//! The whole service against stand-ins on loopback: three controllers, a state
+//! service, a cloud and its workers.
+
+#[path = "support/standins.rs"]
+mod standins;
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bitternfold::leader;
+use bitternfold::settings::{Platform, Tuning};
+use serde_json::{json, Value};
+use standins::{ask, Cloud, State};
+use tokio::time::sleep;
+
+pub use support::types;
+
+/// A bound is far above what anything here takes; reaching it is a failure.
+const LONG: Duration = Duration::from_secs(60);
+
+fn free_port() -> SocketAddr {
+    let l = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    l.local_addr().expect("an address")
+}
+
+struct Site {
+    state: Arc<State>,
+    cloud: Arc<Cloud>,
+    api: Vec<SocketAddr>,
+    texts: Vec<String>,
+    stops: Vec<Option<std::sync::mpsc::Sender<()>>>,
+}
+
+impl Site {
+    async fn start(run: Duration) -> Self {
+        let api: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+        let back: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+        let state = Arc::new(State::default());
+        let state_addr = state.start().await;
+        let names = (0..3).map(|i| (format!("heron-{i}"), api[i])).collect();
+        let cloud = Cloud::new(names, run);
+        let cloud_addr = cloud.start().await;
+        let texts = (0..3)
+            .map(|i| {
+                let seeds: String = (0..3)
+                    .filter(|j| *j != i)
+                    .map(|j| format!("[[seeds]]\nhost_name = \"heron-{j}\"\nendpoint = \"{}\"\n", back[j]))
+                    .collect();
+                let rest = support::SETTINGS.split("[services]").nth(1).expect("a table");
+                format!(
+                    "host_name = \"heron-{i}\"\nzone = \"north\"\napi_addr = \"{}\"\nback = \"{}\"\n{seeds}[services]{}",
+                    api[i],
+                    back[i],
+                    rest.replace("127.0.0.1:4", &cloud_addr.to_string())
+                        .replace("127.0.0.1:5", &state_addr.to_string()),
+                )
+            })
+            .collect();
+        let mut site = Self {
+            state,
+            cloud,
+            api,
+            texts,
+            stops: vec![None, None, None],
+        };
+        for i in 0..3 {
+            site.boot(i);
+        }
+        site
+    }
+
+    /// Runs a controller on a thread of its own, as a process would.
+    fn boot(&mut self, i: usize) {
+        let platform = Platform::parse(&self.texts[i], "test").expect("settings");
+        let (tx, rx) = std::sync::mpsc::channel::<()>();
+        self.stops[i] = Some(tx);
+        std::thread::spawn(move || {
+            let rt = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            rt.block_on(async move {
+                tokio::spawn(async move {
+                    // A restart may find the port still closing.
+                    while leader::run(platform.clone(), Tuning::default()).await.is_err() {
+                        sleep(Duration::from_millis(50)).await;
+                    }
+                });
+                while rx.try_recv() == Err(std::sync::mpsc::TryRecvError::Empty) {
+                    sleep(Duration::from_millis(20)).await;
+                }
+            });
+        });
+    }
+
+    /// Ends a controller without a word.
+    fn kill(&mut self, i: usize) {
+        self.stops[i] = None;
+    }
+
+    fn job(&self, n: u32, tasks: u32) -> Value {
+        let mut v = serde_json::to_value(support::job(n, tasks, 2.0)).expect("json");
+        v["expected_s"] = json!(1.0);
+        v
+    }
+
+    /// Repeats a request until it is answered by something else than 503.
+    async fn insist(&self, method: &str, at: usize, path: &str, body: Option<Value>) -> (u16, Value) {
+        let began = Instant::now();
+        loop {
+            let r = ask(method, self.api[at], path, body.clone()).await;
+            if r.0 != 503 && r.0 != 0 {
+                return r;
+            }
+            assert!(began.elapsed() < LONG, "{method} {path} is never answered");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn until(&self, at: usize, job: &str, standing: &str) -> Value {
+        let began = Instant::now();
+        loop {
+            let (status, v) = self.insist("GET", at, &format!("/v2/runs/{job}"), None).await;
+            assert_eq!(status, 200, "{job}: {v}");
+            if v["standing"] == standing {
+                return v;
+            }
+            assert!(began.elapsed() < LONG, "{job} is still {v}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+fn on_loopback<F: std::future::Future>(f: F) -> F::Output {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(f)
+}
+
+#[test]
+fn users_are_served_by_every_controller() {
+    on_loopback(async {
+        let site = Site::start(Duration::from_millis(300)).await;
+        let (status, v) = site.insist("POST", 0, "/v2/runs", Some(site.job(1, 5))).await;
+        assert!([200, 201].contains(&status), "{v}");
+        for at in 0..3 {
+            // A repeat is 200 whatever is wrong with it by now.
+            let mut bad = site.job(1, 5);
+            bad["cpus"] = json!("many");
+            let (status, v) = site.insist("POST", at, "/v2/runs", Some(bad)).await;
+            assert_eq!((status, &v["name_id"]), (200, &json!("job-000001")));
+            let mut bad = site.job(2, 5);
+            bad["cpus"] = json!(-2.0);
+            assert_eq!(site.insist("POST", at, "/v2/runs", Some(bad)).await.0, 400);
+            let mut bad = site.job(2, 5);
+            bad["desk"] = json!("green");
+            assert_eq!(site.insist("POST", at, "/v2/runs", Some(bad)).await.0, 422);
+            assert_eq!(site.insist("POST", at, "/v2/runs", Some(json!([1]))).await.0, 400);
+            assert_eq!(site.insist("GET", at, "/v2/runs/job-777777", None).await.0, 404);
+            assert_eq!(
+                site.insist("POST", at, "/v2/runs/job-777777/cancel", None)
+                    .await
+                    .0,
+                404
+            );
+            assert_eq!(ask("GET", site.api[at], "/up", None).await.0, 200);
+        }
+        let mut huge = site.job(3, 1);
+        huge["kit"] = json!("x".repeat(70_000));
+        assert_eq!(site.insist("POST", 1, "/v2/runs", Some(huge)).await.0, 413);
+        let v = site.until(2, "job-000001", "done").await;
+        assert_eq!(v["done"], 5);
+        // Over is over, for a cancellation too.
+        let (status, v) = site.insist("POST", 1, "/v2/runs/job-000001/cancel", None).await;
+        assert_eq!((status, &v["standing"]), (200, &json!("done")));
+        assert!(site.cloud.doubles.lock().is_empty());
+    });
+}
+
+#[test]
+fn a_cancelled_job_stays_cancelled() {
+    on_loopback(async {
+        let site = Site::start(Duration::from_secs(600)).await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 4))).await;
+        site.until(0, "job-000001", "running").await;
+        let (status, v) = site.insist("POST", 1, "/v2/runs/job-000001/cancel", None).await;
+        assert_eq!((status, &v["standing"]), (200, &json!("cancelled")));
+        site.state.end_holds();
+        for at in 0..3 {
+            let (_, v) = site.insist("GET", at, "/v2/runs/job-000001", None).await;
+            assert_eq!(v["standing"], "cancelled", "whoever leads");
+        }
+    });
+}
+
+#[test]
+fn work_goes_on_through_the_loss_of_leaders_and_of_the_state_service() {
+    on_loopback(async {
+        let mut site = Site::start(Duration::from_millis(700)).await;
+        for n in 0..4 {
+            site.insist("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 6)))
+                .await;
+        }
+        site.until(0, "job-000000", "running").await;
+        site.kill(0);
+        site.kill(1);
+        sleep(Duration::from_millis(300)).await;
+        site.boot(0);
+        site.boot(1);
+        site.state.end_holds();
+        let (_, v) = site.insist("POST", 2, "/v2/runs", Some(site.job(9, 3))).await;
+        assert_eq!(v["name_id"], "job-000009");
+        // An outage: nothing can be known, and that is said at once.
+        site.state.outage(true);
+        sleep(Duration::from_millis(3500)).await;
+        let began = Instant::now();
+        let (status, _) = ask("POST", site.api[0], "/v2/runs", Some(site.job(20, 1))).await;
+        assert_eq!(status, 503);
+        assert!(
+            began.elapsed() < Duration::from_secs(4),
+            "answered while its user still waits"
+        );
+        site.state.outage(false);
+        for n in [0, 1, 2, 3, 9] {
+            site.until(2, &format!("job-{n:06}"), "done").await;
+        }
+        assert!(
+            site.cloud.doubles.lock().is_empty(),
+            "{:?}",
+            site.cloud.doubles.lock()
+        );
+        assert!(*site.cloud.starts.lock() >= 27);
+    });
+}
