Fleet: idle machines kept by price, the cheapest for 90 s

Cause: after a lull the spot machines were gone and a burst met 15 machines instead of 21, then dear ones were rented. Ruled out: 20 s for all (baseline), 45 s, 140 s.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -183,9 +183,9 @@
         });
         for m in idle {
             let Some(k) = self.kind_of(m) else { continue };
-            let long = m
+let long = m
                 .idle_since
-                .is_some_and(|t| now.saturating_duration_since(t) > self.config.tuning.idle);
+                .is_some_and(|t| now.saturating_duration_since(t) > self.hold_idle(m));
             let cpus = self.types[k].cpus;
             if long && free - cpus >= keep {
                 free -= cpus;
@@ -196,6 +196,18 @@
         out
     }
 
+    /// How long an idle machine is kept: to rent it anew costs its boot, so
+    /// the cheapest are kept longest and the dear ones go soon.
+    fn hold_idle(&self, m: &Machine) -> Duration {
+        let cheapest = self
+            .types
+            .iter()
+            .map(|t| if t.spot_price > 0.0 { t.spot_price.min(t.price) } else { t.price } / t.cpus.max(1.0))
+            .fold(f64::MAX, f64::min);
+        let ratio = (cheapest / self.price(m).max(1e-9)).clamp(0.0, 1.0);
+        self.config.tuning.idle.mul_f64(ratio * ratio)
+    }
+
     fn price(&self, m: &Machine) -> f64 {
         self.kind_of(m).map_or(0.0, |k| {
             let t = &self.types[k];
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -311,7 +311,7 @@
         Self {
             hold: Duration::from_millis(3000),
             plan_pause: Duration::from_millis(50),
-            idle: Duration::from_secs(20),
+            idle: Duration::from_secs(90),
             silent: Duration::from_secs(9),
             most_machines: 1000,
             warm: 0.15,
