--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -7,7 +7,6 @@
 use tracing::info;
 
 use super::model::{type_allowed, Machine, Model, Phase, SlotState, EPS};
-use super::plan::rank;
 use crate::wire::{JobSpec, MachineId, Rental};
 
 /// A kind of machine at a place: type, zone, spot.
@@ -183,7 +182,7 @@
         });
         for m in idle {
             let Some(k) = self.kind_of(m) else { continue };
-let long = m
+            let long = m
                 .idle_since
                 .is_some_and(|t| now.saturating_duration_since(t) > self.hold_idle(m));
             let cpus = self.types[k].cpus;
@@ -279,7 +278,8 @@
             .values()
             .filter(|j| !j.cancelled && j.waiting.count() > 0 && j.pause_until.is_none_or(|t| t <= now))
             .collect();
-        queue.sort_by_key(|j| rank(j));
+        let ranks = self.ranks(now);
+        queue.sort_by_key(|j| ranks.get(&j.spec.id));
         let mut cpus_waiting = 0.0;
         for j in queue {
             let s = &j.spec;
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -2,20 +2,35 @@
 //! starts the blocked head at once; then venture backfilling, first by
 //! predicted finish within the reservation, then by priority.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
 use crate::wire::{JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId};
 
-/// Place of a job in the queue; the smaller comes first.
-pub type Rank = (std::cmp::Reverse<Priority>, Instant, JobId);
-
-/// The rank of a job.
-pub fn rank(job: &Job) -> Rank {
-    (std::cmp::Reverse(job.spec.priority), job.arrival, job.spec.id)
+/// Place of a job in the queue; the smaller comes first: by priority, then by
+/// [`Tier`], then by arrival.
+pub type Rank = (std::cmp::Reverse<Priority>, Tier, Instant, JobId);
+
+/// Order within a priority. Where there is room for all, arrival decides as in
+/// the paper; where there is not, those come first whose users can still be
+/// served as they were told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    /// Within its team's guarantee: it need not wait for other teams.
+    Guaranteed,
+    /// In time, or without a deadline.
+    InTime,
+    /// Late, but not yet for a laxer aim on the same deadline.
+    Late,
+    /// Too late for every aim.
+    Lost,
 }
 
+/// A job too late for every aim is ordered by arrival again once it has waited
+/// so many times its deadline, so that none waits for ever.
+const LOST_LIMIT: f64 = 5.0;
+
 /// Free room of a machine that may be placed on.
 #[derive(Debug, Clone)]
 struct Room {
@@ -158,6 +173,77 @@
         Duration::from_secs_f64(spec.estimate_s * ratio.min(1.0))
     }
 
+    /// Jobs that fit into their team's guarantee along with the team's earlier
+    /// unfinished ones.
+    fn guaranteed(&self) -> HashSet<JobId> {
+        let mut by_arrival: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        by_arrival.sort_by_key(|j| (j.arrival, j.spec.id));
+        let mut sums: HashMap<&str, Usage> = HashMap::new();
+        let mut within = HashSet::new();
+        for j in by_arrival {
+            let Some(team) = self.config.teams.get(&j.spec.team) else {
+                continue;
+            };
+            let n = f64::from(j.spec.tasks);
+            let sum = sums.entry(&j.spec.team).or_default();
+            sum.cpus += n * j.spec.cpus;
+            sum.gpus += n * j.spec.gpus;
+            if sum.cpus <= team.cpus + EPS && sum.gpus <= team.gpus + EPS {
+                within.insert(j.spec.id);
+            }
+        }
+        within
+    }
+
+    /// How late a job is by what its users were told.
+    fn tier(&self, job: &Job, now: Instant) -> Tier {
+        let class = Some(&job.spec.class);
+        let (mut due, mut last): (Option<f64>, f64) =
+            (job.spec.deadline_s, job.spec.deadline_s.unwrap_or(0.0));
+        for o in self
+            .config
+            .objectives
+            .iter()
+            .filter(|o| o.class.as_ref() == class)
+        {
+            match (o.kind.as_str(), o.within_s, job.spec.deadline_s) {
+                ("finished", Some(s), _) => {
+                    due = Some(due.map_or(s, |d| d.min(s)));
+                    last = last.max(s);
+                }
+                ("deadline", _, Some(d)) => last = last.max(d * o.times.unwrap_or(1.0)),
+                _ => {}
+            }
+        }
+        let Some(due) = due else { return Tier::InTime };
+        let age = now.saturating_duration_since(job.arrival);
+        let done = (age + self.predict(&job.spec)).as_secs_f64();
+        if done <= due || age.as_secs_f64() > last * LOST_LIMIT {
+            Tier::InTime
+        } else if done <= last {
+            Tier::Late
+        } else {
+            Tier::Lost
+        }
+    }
+
+    /// Places of all unfinished jobs in the queue.
+    pub fn ranks(&self, now: Instant) -> BTreeMap<JobId, Rank> {
+        let within = self.guaranteed();
+        self.jobs
+            .iter()
+            .filter(|(_, j)| !j.cancelled)
+            .map(|(id, j)| {
+                let tier = if within.contains(id) {
+                    Tier::Guaranteed
+                } else {
+                    self.tier(j, now)
+                };
+                (*id, (std::cmp::Reverse(j.spec.priority), tier, j.arrival, *id))
+            })
+            .collect()
+    }
+
     /// When a slot is predicted to be free.
     pub fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
         let Some(spec) = &slot.spec else {
@@ -213,11 +299,12 @@
     /// One scheduling round.
     pub fn plan(&mut self, now: Instant) -> Round {
         let mut round = Round::default();
+        let ranks = self.ranks(now);
         let mut queue: Vec<(Rank, JobId)> = self
             .jobs
             .values()
             .filter(|j| !j.cancelled && j.waiting.count() > 0)
-            .map(|j| (rank(j), j.spec.id))
+            .filter_map(|j| Some((*ranks.get(&j.spec.id)?, j.spec.id)))
             .collect();
         if queue.is_empty() {
             self.all_sunny();
@@ -225,7 +312,7 @@
         }
         queue.sort_unstable();
         self.end_broken_gangs(now);
-        let mut p = Planner::new(self, now);
+        let mut p = Planner::new(self, ranks, now);
 
         // In order, until the head stalls.
         let mut head: Option<(usize, Rank)> = None;
@@ -271,7 +358,8 @@
         for (_, id) in rest {
             p.place_all(*id, true, None, &mut round.backfilled);
         }
-        self.settle_shadow(now);
+        let ranks = std::mem::take(&mut p.ranks);
+        self.settle_shadow(&ranks, now);
         round
     }
 
@@ -307,17 +395,16 @@
     }
 
     /// A backfilled task that no waiting job outranks any more is sunny.
-    fn settle_shadow(&mut self, now: Instant) {
+    fn settle_shadow(&mut self, ranks: &BTreeMap<JobId, Rank>, now: Instant) {
         let top = self
             .jobs
             .values()
             .filter(|j| !j.cancelled && j.waiting.count() > 0 && j.pause_until.is_none_or(|t| t <= now))
-            .map(rank)
+            .filter_map(|j| ranks.get(&j.spec.id))
             .min();
-        let jobs = &self.jobs;
         for m in self.machines.values_mut() {
             for (task, s) in m.slots.iter_mut().filter(|(_, s)| s.backfilled) {
-                let own = jobs.get(&task.job).map(rank);
+                let own = ranks.get(&task.job);
                 if own.is_some_and(|o| top.is_none_or(|t| o <= t)) {
                     s.backfilled = false;
                 }
@@ -329,6 +416,7 @@
 struct Planner<'m> {
     model: &'m mut Model,
     now: Instant,
+    ranks: BTreeMap<JobId, Rank>,
     rooms: Vec<Room>,
     usage: HashMap<String, Usage>,
     types: Vec<MachineType>,
@@ -337,7 +425,7 @@
 }
 
 impl<'m> Planner<'m> {
-    fn new(model: &'m mut Model, now: Instant) -> Self {
+    fn new(model: &'m mut Model, ranks: BTreeMap<JobId, Rank>, now: Instant) -> Self {
         let usage = model.usage();
         let types = model.types.clone();
         let most = model.slots_per_machine();
@@ -379,7 +467,7 @@
                     gpus: spec.gpus,
                     memory: spec.memory_gb,
                     shadow: s.backfilled && s.stop.is_none() && !matches!(s.state, SlotState::Saving),
-                    rank: model.jobs.get(&task.job).map(rank),
+                    rank: ranks.get(&task.job).copied(),
                     task: *task,
                     grace,
                     started: s.running_since.unwrap_or(s.placed_at),
@@ -390,6 +478,7 @@
         Self {
             model,
             now,
+            ranks,
             rooms,
             usage,
             types,
@@ -657,7 +746,7 @@
         let Some(job) = self.model.jobs.get(&id) else {
             return;
         };
-        let (spec, rank) = (job.spec.clone(), rank(job));
+        let (spec, rank) = (job.spec.clone(), self.ranks.get(&id).copied());
         let end = self.now + self.model.predict(&spec);
         // Tasks of a gang know each other by their common attempt.
         let attempt = self.model.new_attempt();
@@ -680,7 +769,7 @@
                 gpus: spec.gpus,
                 memory: spec.memory_gb,
                 shadow: false,
-                rank: Some(rank),
+                rank,
                 task: p.task,
                 grace: Duration::ZERO,
                 started: self.now,
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bitternfold::core::model::{admissible, type_allowed, SlotState, Unfit};
-use bitternfold::core::plan::rank;
+use bitternfold::core::plan::Tier;
 use bitternfold::core::Model;
 use bitternfold::wire::*;
 use proptest::prelude::*;
@@ -158,12 +158,13 @@
         let waiting: HashMap<JobId, u32> = m.jobs.iter().map(|(id, j)| (*id, j.waiting.count())).collect();
         m.plan(later);
         check_placements(&m)?;
+        let ranks = m.ranks(later);
         for (task, s) in m.machines.values().flat_map(|x| &x.slots) {
             if s.stop.is_none() { continue; }
             if m.jobs[&task.job].broken_gang() { continue; }
             prop_assert!(shadow_before[task], "{task} was sunny and is stopped");
-            let own = rank(&m.jobs[&task.job]);
-            let for_better = m.jobs.iter().any(|(id, j)| rank(j) < own && j.waiting.count() < waiting[id]);
+            let own = ranks[&task.job];
+            let for_better = m.jobs.iter().any(|(id, j)| ranks[id] < own && j.waiting.count() < waiting[id]);
             prop_assert!(for_better, "{task} is stopped for nobody above it");
         }
     }
@@ -441,3 +442,57 @@
     // Ten rounds that find nothing; the bound is far above what they take.
     assert!(began.elapsed() < secs(20));
 }
+
+#[test]
+fn under_load_those_come_first_who_can_still_be_served_as_told() {
+    // One machine, room for one: by arrival the lost job would come first, and
+    // all others would be late in turn.
+    let now = start();
+    let with = |n: u32, due: Option<f64>, age: u64, team: &str| {
+        let mut j = job(n, 1, 8.0);
+        j.deadline_s = due;
+        j.team = team.into();
+        (record(j), now - secs(age))
+    };
+    let lost = with(1, Some(50.0), 100, "blue");
+    let in_time = with(2, Some(100.0), 20, "blue");
+    let later = with(3, None, 10, "blue");
+    let guaranteed = with(4, None, 5, "red");
+    let forgotten = with(5, Some(50.0), 1000, "blue");
+    let order = [forgotten, lost, in_time, later, guaranteed];
+    let mut m = model(1);
+    order.iter().for_each(|(r, at)| m.add_job(r.clone(), *at));
+    let ranks = m.ranks(now);
+    let mut ids: Vec<JobId> = ranks.keys().copied().collect();
+    ids.sort_by_key(|id| ranks[id]);
+    let ids: Vec<String> = ids.iter().map(ToString::to_string).collect();
+    // Red's is within its guarantee; the forgotten one has waited long enough.
+    assert_eq!(
+        ids,
+        [
+            "job-000004",
+            "job-000005",
+            "job-000002",
+            "job-000003",
+            "job-000001"
+        ]
+    );
+}
+
+#[test]
+fn a_guarantee_covers_a_teams_earliest_jobs_only() {
+    let now = start();
+    let mut m = model(1);
+    for n in 1..4 {
+        let mut j = job(n, 1, 8.0);
+        j.team = "red".into();
+        m.add_job(record(j), now + secs(u64::from(n)));
+    }
+    let ranks = m.ranks(now + secs(9));
+    let tiers: Vec<Tier> = ranks.values().map(|r| r.1).collect();
+    assert_eq!(
+        tiers,
+        [Tier::Guaranteed, Tier::Guaranteed, Tier::InTime],
+        "16 CPUs are guaranteed"
+    );
+}
