--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -608,3 +608,29 @@
     let (_, c) = m.command(&id, now).expect("a command");
     assert!(matches!(c.commands[..], [Command::Forget { .. }]));
 }
+
+#[test]
+fn an_older_message_changes_nothing() {
+    // Reports held back by the network arrive after newer ones; their tasks
+    // are as old as they are.
+    let now = start();
+    let mut m = model(7);
+    let mut r = report("i-1", "small", "north", false, 7, 5);
+    r.session = 2;
+    m.heard(&r, now);
+    let id = MachineId::from("i-1");
+    for (session, seq) in [(1, 9), (2, 4), (2, 5)] {
+        let mut old = report("i-1", "small", "north", false, 7, seq);
+        old.session = session;
+        old.tasks = vec![ReportedTask {
+            task: "job-000001/0".parse().expect("a task"),
+            attempt: 1,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        }];
+        assert_eq!(m.heard(&old, now), bitternfold::core::model::Heard::Old);
+        assert!(m.machines[&id].slots.is_empty());
+        assert_eq!(m.machines[&id].newest, (2, 5));
+    }
+}
