Queue: jobs that can be in time go by their latest start

Cause: within a tier jobs went by arrival, so a long one with slack went before a short one without. Ruled out before: reserved room, more warm room, a shorter hold.

--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -195,27 +195,34 @@
         within
     }
 
-    /// How late a job is by what its users were told.
-    fn tier(&self, job: &Job, now: Instant) -> Tier {
+    /// When a job is due, in seconds from its arrival, by the strictest and by
+    /// the laxest of what its users were told.
+    fn dues(&self, job: &Job) -> (Option<f64>, Option<f64>) {
         let class = Some(&job.spec.class);
-        let (mut due, mut last): (Option<f64>, f64) =
-            (job.spec.deadline_s, job.spec.deadline_s.unwrap_or(0.0));
-        for o in self
+        let objectives = self
             .config
             .objectives
             .iter()
-            .filter(|o| o.class.as_ref() == class)
-        {
-            match (o.kind.as_str(), o.within_s, job.spec.deadline_s) {
-                ("finished", Some(s), _) => {
-                    due = Some(due.map_or(s, |d| d.min(s)));
-                    last = last.max(s);
-                }
-                ("deadline", _, Some(d)) => last = last.max(d * o.times.unwrap_or(1.0)),
-                _ => {}
-            }
-        }
-        let Some(due) = due else { return Tier::InTime };
+            .filter(|o| o.class.as_ref() == class);
+        let told = job
+            .spec
+            .deadline_s
+            .into_iter()
+            .chain(objectives.filter_map(|o| match o.kind.as_str() {
+                "finished" => o.within_s,
+                "deadline" => Some(job.spec.deadline_s? * o.times.unwrap_or(1.0)),
+                _ => None,
+            }));
+        told.fold((None, None), |(a, b): (Option<f64>, Option<f64>), t| {
+            (Some(a.map_or(t, |a| a.min(t))), Some(b.map_or(t, |b| b.max(t))))
+        })
+    }
+
+    /// How late a job is by what its users were told.
+    fn tier(&self, job: &Job, now: Instant) -> Tier {
+        let (Some(due), Some(last)) = self.dues(job) else {
+            return Tier::InTime;
+        };
         let age = now.saturating_duration_since(job.arrival);
         let done = (age + self.predict(&job.spec)).as_secs_f64();
         if done <= due || age.as_secs_f64() > last * LOST_LIMIT {
@@ -239,7 +246,14 @@
                 } else {
                     self.tier(j, now)
                 };
-                (*id, (std::cmp::Reverse(j.spec.priority), tier, j.arrival, *id))
+                let by = match (tier, self.dues(j).0) {
+                    (Tier::InTime, Some(due)) => {
+                        let slack = Duration::from_secs_f64(due).saturating_sub(self.predict(&j.spec));
+                        j.arrival + slack
+                    }
+                    _ => j.arrival,
+                };
+                (*id, (std::cmp::Reverse(j.spec.priority), tier, by, *id))
             })
             .collect()
     }
