--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -140,6 +140,8 @@
         let silent_count = up.iter().filter(|m| silent(m)).count();
         // Most of them silent at once: it is we who don't hear.
         let deaf = silent_count > 2 && silent_count * 2 > up.len();
+        let deaf_machines = self.deaf_machines(now, silent_after * 2);
+        let cut = self.cut_from_workers(now);
         let mut idle: Vec<&Machine> = Vec::new();
         for m in self.machines.values() {
             let why = match m.phase {
@@ -157,6 +159,7 @@
                     }
                 }
                 Phase::Up if silent(m) && !deaf => "silent",
+                Phase::Up if deaf_machines.contains(&m.id) && !cut => "takes no commands",
                 Phase::Up if m.cordoned && m.empty() => "failed or faulty",
                 Phase::Up if m.recall.is_some() && m.empty() => "spot notice",
                 Phase::Up => {
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -389,6 +389,8 @@
     pub commanding: bool,
     /// Not to be sent commands before.
     pub command_after: Option<Instant>,
+    /// Commands to it have gone unanswered since.
+    pub unanswered: Option<Instant>,
     /// Something is to be settled by a command though no order is due.
     pub probe: bool,
     /// Jobs that failed on it since its last success.
@@ -425,6 +427,7 @@
             writing: false,
             commanding: false,
             command_after: None,
+            unanswered: None,
             probe: false,
             failed_jobs: BTreeSet::new(),
             failures: 0,
@@ -1133,6 +1136,30 @@
         ))
     }
 
+    /// Machines that report, by way of others, but have taken no command for
+    /// so long.
+    pub fn deaf_machines(&self, now: Instant, long: Duration) -> Vec<MachineId> {
+        let recent = |t: Instant| now.saturating_duration_since(t) < self.config.report * 2;
+        self.machines
+            .values()
+            .filter(|m| m.phase == Phase::Up && m.heard.is_some_and(recent))
+            .filter(|m| {
+                m.unanswered
+                    .is_some_and(|t| now.saturating_duration_since(t) > long)
+            })
+            .map(|m| m.id.clone())
+            .collect()
+    }
+
+    /// Most machines report by way of others and take no command from here:
+    /// this leader is cut off from the workers alone, and their leases would
+    /// live on while its stops never arrive.
+    pub fn cut_from_workers(&self, now: Instant) -> bool {
+        let up = self.machines.values().filter(|m| m.phase == Phase::Up).count();
+        let deaf = self.deaf_machines(now, Duration::from_secs(5)).len();
+        deaf > 2 && deaf * 2 > up
+    }
+
     /// A command was answered, or not (`report` is `None`: unknown).
     pub fn commanded(&mut self, machine: &MachineId, report: Option<&Report>, now: Instant) {
         if let Some(r) = report.filter(|r| r.machine == *machine) {
@@ -1143,7 +1170,11 @@
             return;
         };
         m.commanding = false;
+        if report.is_some() {
+            m.unanswered = None;
+        }
         if report.is_none() {
+            m.unanswered.get_or_insert(now);
             m.probe = true;
             m.command_after = Some(now + Duration::from_millis(700));
         } else if !m.fenced(term) {
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -153,4 +153,7 @@
     reign.clone().lead().await;
     node.set_role(Role::Unknown);
     info!(term, "no longer leading");
+    // Another is to have the first try: this one may have given up for want
+    // of connections.
+    sleep(Duration::from_millis(1500)).await;
 }
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -379,6 +379,11 @@
             if !self.may_act() {
                 continue;
             }
+            if self.node.links.iter().any(|l| l.alive()) && self.model.lock().cut_from_workers(Instant::now())
+            {
+                info!(term = self.term, "resigning: workers take no commands from here");
+                return self.end();
+            }
             let wishes = self.model.lock().fleet(Instant::now());
             for wish in wishes {
                 let reign = self.clone();
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -634,3 +634,29 @@
         assert_eq!(m.machines[&id].newest, (2, 5));
     }
 }
+
+#[test]
+fn a_leader_that_only_the_workers_cant_hear_notices() {
+    // Their reports come by way of others and renew their leases, so without
+    // this the stops of a cancelled job would never arrive.
+    let now = start();
+    let mut m = model(7);
+    let ids: Vec<MachineId> = (0..4).map(|i| format!("i-{i}").as_str().into()).collect();
+    for id in &ids {
+        m.heard(&report(id, "small", "north", false, 7, 1), now);
+        m.commanded(id, None, now);
+    }
+    assert!(!m.cut_from_workers(now + secs(1)), "too soon to tell");
+    for id in &ids {
+        m.heard(&report(id, "small", "north", false, 7, 2), now + secs(7));
+    }
+    assert!(m.cut_from_workers(now + secs(7)));
+    let answer = report(&ids[0], "small", "north", false, 7, 3);
+    m.commanded(&ids[0], Some(&answer), now + secs(7));
+    m.commanded(
+        &ids[1],
+        Some(&report(&ids[1], "small", "north", false, 7, 3)),
+        now + secs(7),
+    );
+    assert!(!m.cut_from_workers(now + secs(7)), "half of them answer");
+}
