--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -391,6 +391,8 @@
     pub command_after: Option<Instant>,
     /// Commands to it have gone unanswered since.
     pub unanswered: Option<Instant>,
+    /// When it last answered a command.
+    pub answered: Option<Instant>,
     /// Something is to be settled by a command though no order is due.
     pub probe: bool,
     /// Jobs that failed on it since its last success.
@@ -428,6 +430,7 @@
             commanding: false,
             command_after: None,
             unanswered: None,
+            answered: None,
             probe: false,
             failed_jobs: BTreeSet::new(),
             failures: 0,
@@ -1155,9 +1158,15 @@
     /// this leader is cut off from the workers alone, and their leases would
     /// live on while its stops never arrive.
     pub fn cut_from_workers(&self, now: Instant) -> bool {
-        let up = self.machines.values().filter(|m| m.phase == Phase::Up).count();
-        let deaf = self.deaf_machines(now, Duration::from_secs(5)).len();
-        deaf > 2 && deaf * 2 > up
+        let long = Duration::from_secs(5);
+        let recent = |t: Instant| now.saturating_duration_since(t) < long;
+        // Idle machines are sent nothing, and tell nothing.
+        let answer = self
+            .machines
+            .values()
+            .filter(|m| m.unanswered.is_none() && m.answered.is_some_and(recent));
+        let deaf = self.deaf_machines(now, long).len();
+        deaf > 2 && deaf > answer.count()
     }
 
     /// A command was answered, or not (`report` is `None`: unknown).
@@ -1172,6 +1181,7 @@
         m.commanding = false;
         if report.is_some() {
             m.unanswered = None;
+            m.answered = Some(now);
         }
         if report.is_none() {
             m.unanswered.get_or_insert(now);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -659,4 +659,10 @@
         now + secs(7),
     );
     assert!(!m.cut_from_workers(now + secs(7)), "half of them answer");
+    // Those that were sent nothing of late don't count as answering.
+    m.commanded(&ids[0], None, now + secs(8));
+    for id in &ids {
+        m.heard(&report(id, "small", "north", false, 7, 4), now + secs(14));
+    }
+    assert!(m.cut_from_workers(now + secs(14)));
 }
