--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -259,7 +259,7 @@
     }
 
     /// When a slot is predicted to be free.
-    pub fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
+    fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
         let Some(spec) = &slot.spec else {
             return now + Duration::from_secs(1);
         };
@@ -346,12 +346,8 @@
 
         // Shadow load preemption.
         while p.preempt_for(head_id, &mut round) {}
-        let tried = p.place_all(head_id, false, None, &mut round.in_order);
+        p.place_all(head_id, false, None, &mut round.in_order);
         let rest = &queue[at + 1..];
-        if tried != Tried::NoRoom {
-            // Preemption finished the head; the next round goes on in order.
-            // What is left over is filled below.
-        }
 
         // Venture backfilling within the reservation, nearest finish first.
         let reservation = p.reservation(head_id);
