--- a/src/core/bits.rs
+++ b/src/core/bits.rs
@@ -1,9 +1,4 @@
-//! A set of task numbers, kept as bits and stored in pages.
-
-use std::fmt::Write;
-
-/// Tasks in one stored page.
-pub const PAGE: u32 = 8192;
+//! A set of task numbers, kept as bits.
 
 /// A fixed-size set of task numbers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -77,46 +72,4 @@
             (0..64).filter(move |b| w >> b & 1 == 1).map(move |b| base + b)
         })
     }
-
-    /// How many pages the set is stored in.
-    pub fn pages(len: u32) -> u32 {
-        len.div_ceil(PAGE)
-    }
-
-    /// A page as text: hexadecimal words, trailing zero words left out.
-    pub fn page(&self, page: u32) -> String {
-        let per = (PAGE / 64) as usize;
-        let from = page as usize * per;
-        let to = (from + per).min(self.words.len());
-        let words = &self.words[from..to];
-        let used = words.iter().rposition(|w| *w != 0).map_or(0, |p| p + 1);
-        let mut out = String::with_capacity(used * 16);
-        for w in &words[..used] {
-            let _ = write!(out, "{w:016x}");
-        }
-        out
-    }
-
-    /// Adds a stored page; false if it is malformed.
-    pub fn merge_page(&mut self, page: u32, text: &str) -> bool {
-        if !text.len().is_multiple_of(16) || !text.is_ascii() {
-            return false;
-        }
-        let from = (page * (PAGE / 64)) as usize;
-        for (i, chunk) in text.as_bytes().chunks(16).enumerate() {
-            let Some(word) = std::str::from_utf8(chunk)
-                .ok()
-                .and_then(|s| u64::from_str_radix(s, 16).ok())
-            else {
-                return false;
-            };
-            let base = (from + i) as u32 * 64;
-            for b in 0..64 {
-                if word >> b & 1 == 1 {
-                    self.insert(base + b);
-                }
-            }
-        }
-        true
-    }
 }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use tracing::info;
+use tracing::{debug, info};
 
 use super::model::{type_allowed, Machine, Model, Phase, SlotState, EPS};
 use crate::wire::{JobSpec, MachineId, Rental};
@@ -20,7 +20,7 @@
     /// Offers that were refused, not to be asked for before.
     pub refused: BTreeMap<Offer, Instant>,
     /// Machines asked for and not yet answered.
-    pub pending: BTreeMap<String, (Offer, u32, Instant)>,
+    pub pending: BTreeMap<String, (Offer, u32)>,
     /// A release of these is under way.
     pub releasing: BTreeSet<MachineId>,
 }
@@ -35,6 +35,7 @@
 }
 
 /// A machine that exists, boots or is to be rented, for packing.
+#[derive(Clone)]
 struct Bin {
     kind: usize,
     zone: String,
@@ -44,6 +45,27 @@
     memory: f64,
 }
 
+/// Most machines in one rental, and names in one release, as the cloud takes them.
+const MOST_RENTED: u32 = 50;
+const MOST_RELEASED: usize = 100;
+/// Rentals on their way at once; more would only queue for the cloud's pace,
+/// before what turns out to be urgent.
+const MOST_PENDING: usize = 6;
+
+/// What is about to be rented, and where what there is stands.
+struct Shop<'a> {
+    cut: &'a BTreeSet<String>,
+    per_zone: BTreeMap<String, u32>,
+    wanted: BTreeMap<Offer, u32>,
+}
+
+impl Shop<'_> {
+    fn add(&mut self, offer: Offer) {
+        *self.per_zone.entry(offer.1.clone()).or_default() += 1;
+        *self.wanted.entry(offer).or_default() += 1;
+    }
+}
+
 impl Model {
     /// Decides what to rent and to return.
     pub fn fleet(&mut self, now: Instant) -> Vec<Wish> {
@@ -59,9 +81,17 @@
                 }
                 self.fleet.releasing.insert(id.clone());
             }
-            wishes.extend(release.chunks(100).map(|c| Wish::Release(c.to_vec())));
+            wishes.extend(release.chunks(MOST_RELEASED).map(|c| Wish::Release(c.to_vec())));
         }
-        for (offer, count) in self.to_rent(now) {
+        let wanted = if self.fleet.pending.len() < MOST_PENDING {
+            self.to_rent(now)
+        } else {
+            Vec::new()
+        };
+        for (offer, count) in wanted {
+            if self.fleet.pending.len() >= MOST_PENDING {
+                break;
+            }
             self.fleet.requests += 1;
             let request = format!("r-{}-{}", self.term, self.fleet.requests);
             info!(
@@ -72,9 +102,7 @@
                 count,
                 "renting"
             );
-            self.fleet
-                .pending
-                .insert(request.clone(), (offer.clone(), count, now));
+            self.fleet.pending.insert(request.clone(), (offer.clone(), count));
             wishes.push(Wish::Rent(Rental {
                 request,
                 machine_type: offer.0,
@@ -97,11 +125,14 @@
         }
     }
 
-    /// The cloud refused a rental, or it is given up unanswered. What it may
-    /// still rent shows up in the list or by its worker's reports.
-    pub fn rental_failed(&mut self, r: &Rental, now: Instant) {
+    /// The cloud refused a rental for want of capacity, or it is given up
+    /// unanswered. What it may still rent shows up in the list or by its
+    /// worker's reports. Pacing says nothing of capacity.
+    pub fn rental_failed(&mut self, r: &Rental, no_capacity: bool, now: Instant) {
         self.fleet.pending.remove(&r.request);
-        self.refuse(r, now);
+        if no_capacity {
+            self.refuse(r, now);
+        }
     }
 
     fn refuse(&mut self, r: &Rental, now: Instant) {
@@ -129,8 +160,24 @@
         self.types.iter().position(|t| t.name == m.machine_type)
     }
 
+    /// Zones most of whose machines are silent: cut off, it seems.
+    fn silent_zones(&self, now: Instant) -> BTreeSet<String> {
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
+            let z = zones.entry(&m.zone).or_default();
+            z.0 += 1;
+            let last = m.heard.unwrap_or(m.since);
+            z.1 += usize::from(now.saturating_duration_since(last) > self.config.silent);
+        }
+        zones
+            .into_iter()
+            .filter(|(_, (all, silent))| *silent > 2 && silent * 2 > *all)
+            .map(|(z, _)| z.to_owned())
+            .collect()
+    }
+
     fn to_release(&self, now: Instant) -> Vec<MachineId> {
-        let silent_after = self.config.tuning.silent;
+        let silent_after = self.config.silent;
         let mut out = Vec::new();
         let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
         let silent = |m: &Machine| {
@@ -140,8 +187,8 @@
         let silent_count = up.iter().filter(|m| silent(m)).count();
         // Most of them silent at once: it is we who don't hear.
         let deaf = silent_count > 2 && silent_count * 2 > up.len();
-        let deaf_machines = self.deaf_machines(now, silent_after * 2);
         let cut = self.cut_from_workers(now);
+        let takes_none = |m: &Machine| self.is_deaf(m, now, silent_after * 2);
         let mut idle: Vec<&Machine> = Vec::new();
         for m in self.machines.values() {
             let why = match m.phase {
@@ -159,7 +206,7 @@
                     }
                 }
                 Phase::Up if silent(m) && !deaf => "silent",
-                Phase::Up if deaf_machines.contains(&m.id) && !cut => "takes no commands",
+                Phase::Up if !cut && takes_none(m) => "takes no commands",
                 Phase::Up if m.cordoned && m.empty() => "failed or faulty",
                 Phase::Up if m.recall.is_some() && m.empty() => "spot notice",
                 Phase::Up => {
@@ -169,7 +216,7 @@
                     continue;
                 }
             };
-            info!(machine = %m.id, why, "releasing");
+            debug!(machine = %m.id, why, "releasing");
             out.push(m.id.clone());
         }
         // Idle ones beyond the warm room, dear ones first.
@@ -191,7 +238,7 @@
             let cpus = self.types[k].cpus;
             if long && free - cpus >= keep {
                 free -= cpus;
-                info!(machine = %m.id, why = "idle", "releasing");
+                debug!(machine = %m.id, why = "idle", "releasing");
                 out.push(m.id.clone());
             }
         }
@@ -237,10 +284,17 @@
     /// Packs what waits onto what there is; the rest is to be rented.
     fn to_rent(&self, now: Instant) -> Vec<(Offer, u32)> {
         let mut bins: Vec<Bin> = Vec::new();
+        let cut = self.silent_zones(now);
+        let mut shop = Shop {
+            cut: &cut,
+            per_zone: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+        };
         for m in self.machines.values() {
+            *shop.per_zone.entry(m.zone.clone()).or_default() += 1;
             let Some(kind) = self.kind_of(m) else { continue };
             let booting = m.phase == Phase::Booting;
-            if !(booting || self.usable(m, now) && m.recall.is_none()) {
+            if !(booting || self.usable(m, now) && m.recall.is_none()) || cut.contains(&m.zone) {
                 continue;
             }
             let t = &self.types[kind];
@@ -263,18 +317,17 @@
                     b.memory -= s.memory_gb;
                 }
             }
-            bins.push(b);
+            if b.cpus > EPS {
+                bins.push(b);
+            }
         }
-        for (offer, count, _) in self.fleet.pending.values() {
-            for _ in 0..*count {
-                if let Some(b) = self.new_bin(offer) {
-                    bins.push(b);
-                }
+        let mut total = self.machines.len();
+        for (offer, count) in self.fleet.pending.values() {
+            total += *count as usize;
+            if let Some(b) = self.new_bin(offer) {
+                bins.extend(std::iter::repeat_n(b, *count as usize));
             }
         }
-        let mut total =
-            self.machines.len() + self.fleet.pending.values().map(|p| p.1 as usize).sum::<usize>();
-        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         let mut usage = self.usage();
         let mut queue: Vec<_> = self
             .jobs
@@ -310,8 +363,9 @@
                     left -= 1;
                 }
             }
+            bins.retain(|b| b.cpus > EPS);
             while left > 0 && total < self.config.tuning.most_machines {
-                let Some(offer) = self.best_offer(s, left, &wanted, now) else {
+                let Some(offer) = self.best_offer(s, left, &shop, now) else {
                     break;
                 };
                 let Some(mut b) = self.new_bin(&offer) else { break };
@@ -324,25 +378,27 @@
                     left -= 1;
                 }
                 bins.push(b);
-                *wanted.entry(offer).or_default() += 1;
+                shop.add(offer);
                 if left == before {
                     break;
                 }
             }
         }
-        self.keep_warm(&bins, cpus_waiting, total, &mut wanted, now);
-        wanted.into_iter().map(|(o, n)| (o, n.min(50))).collect()
+        self.keep_warm(&bins, cpus_waiting, total, &mut shop, now);
+        // In whole requests, the largest first.
+        let mut out = Vec::new();
+        for (offer, mut n) in shop.wanted {
+            while n > 0 {
+                out.push((offer.clone(), n.min(MOST_RENTED)));
+                n -= n.min(MOST_RENTED);
+            }
+        }
+        out.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+        out
     }
 
     /// Some free room for what comes next.
-    fn keep_warm(
-        &self,
-        bins: &[Bin],
-        cpus_waiting: f64,
-        mut total: usize,
-        wanted: &mut BTreeMap<Offer, u32>,
-        now: Instant,
-    ) {
+    fn keep_warm(&self, bins: &[Bin], cpus_waiting: f64, mut total: usize, shop: &mut Shop, now: Instant) {
         let (_, used) = self.room(now);
         let mut free: f64 = bins.iter().map(|b| b.cpus.max(0.0)).sum();
         let keep = (used + cpus_waiting) * self.config.tuning.warm;
@@ -356,13 +412,13 @@
             return;
         };
         while free + EPS < keep && total < self.config.tuning.most_machines {
-            let Some(offer) = self.best_offer(&like, 1, wanted, now) else {
+            let Some(offer) = self.best_offer(&like, 1, shop, now) else {
                 break;
             };
             let Some(b) = self.new_bin(&offer) else { break };
             free += b.cpus;
             total += 1;
-            *wanted.entry(offer).or_default() += 1;
+            shop.add(offer);
         }
     }
 
@@ -390,14 +446,8 @@
 
     /// The offer that runs a job's tasks for the least money, among those not
     /// refused of late; spread over the zones.
-    fn best_offer(
-        &self,
-        s: &JobSpec,
-        left: u32,
-        wanted: &BTreeMap<Offer, u32>,
-        now: Instant,
-    ) -> Option<Offer> {
-        let mut best: Option<((f64, u32), Offer)> = None;
+    fn best_offer(&self, s: &JobSpec, left: u32, shop: &Shop, now: Instant) -> Option<Offer> {
+        let mut best: Option<((bool, f64, u32), Offer)> = None;
         for t in self.types.iter().filter(|t| type_allowed(s, t)) {
             let per = |have: f64, need: f64| if need > 0.0 { (have + EPS) / need } else { f64::MAX };
             let n = per(t.cpus, s.cpus)
@@ -419,13 +469,8 @@
                         continue;
                     }
                     let price = if spot { t.spot_price } else { t.price };
-                    let here = self.machines.values().filter(|m| m.zone == *zone).count() as u32
-                        + wanted
-                            .iter()
-                            .filter(|(o, _)| o.1 == *zone)
-                            .map(|(_, n)| n)
-                            .sum::<u32>();
-                    let score = (price / n, here);
+                    let here = shop.per_zone.get(zone).copied().unwrap_or(0);
+                    let score = (shop.cut.contains(zone), price / n, here);
                     if best.as_ref().is_none_or(|(b, _)| score < *b) {
                         best = Some((score, offer));
                     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,5 +10,6 @@
 pub mod plan;
 pub mod record;
 pub mod store_plan;
+pub mod wal;
 
 pub use model::{Config, Model};
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -10,6 +10,8 @@
 
 /// Place of a job in the queue; the smaller comes first: by priority, then by
 /// [`Tier`], then by arrival or, where a deadline can be met, by latest start.
+/// A job that has waited for [`LIFT_AFTER`] without a start has the highest
+/// priority until it begins.
 pub type Rank = (std::cmp::Reverse<Priority>, Tier, Instant, JobId);
 
 /// Order within a priority. Where there is room for all, arrival decides as in
@@ -17,6 +19,9 @@
 /// served as they were told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
+    /// Has waited long and not begun: its first tasks go before all others of
+    /// its priority, so that a lasting overload keeps nobody out.
+    Starved,
     /// Within its team's guarantee: it need not wait for other teams.
     Guaranteed,
     /// In time, or without a deadline.
@@ -30,18 +35,28 @@
 /// A job too late for every aim is ordered by arrival again once it has waited
 /// so many times its deadline, so that none waits for ever.
 const LOST_LIMIT: f64 = 5.0;
+/// A job that has not begun after so long comes first in its priority...
+pub const STARVED_AFTER: Duration = Duration::from_secs(100);
+/// ...and after so long in all: the users expect even the largest job to begin
+/// within four minutes.
+pub const LIFT_AFTER: Duration = Duration::from_secs(150);
+/// So many of a starved job's tasks go first; the rest waits in the job's
+/// ordinary place, so that all who starve begin soon.
+const BEGIN_TASKS: u32 = 2;
 
 /// Free room of a machine that may be placed on.
 #[derive(Debug, Clone)]
 struct Room {
     machine: MachineId,
-    zone: String,
+    /// Number of its zone, see [`Planner::names`].
+    zone: usize,
     spot: bool,
     kind: usize,
     cpus: f64,
     gpus: f64,
     memory: f64,
-    slots_left: usize,
+    /// Not to be used in this search.
+    closed: bool,
     recall: Option<Instant>,
     /// Room that running tasks will give back: predicted end, amounts, task.
     load: Vec<Load>,
@@ -76,14 +91,13 @@
         let n = per(self.cpus, s.cpus)
             .min(per(self.gpus, s.gpus))
             .min(per(self.memory, s.memory_gb));
-        (n as u32).min(self.slots_left as u32)
+        n as u32
     }
 
     fn claim(&mut self, s: &JobSpec) {
         self.cpus -= s.cpus;
         self.gpus -= s.gpus;
         self.memory -= s.memory_gb;
-        self.slots_left = self.slots_left.saturating_sub(1);
     }
 
     fn give_back(&mut self, l: &Load) {
@@ -115,7 +129,6 @@
         Room {
             load: Vec::new(),
             machine: self.machine.clone(),
-            zone: self.zone.clone(),
             ..*self
         }
     }
@@ -241,7 +254,16 @@
             .iter()
             .filter(|(_, j)| !j.cancelled)
             .map(|(id, j)| {
-                let tier = if within.contains(id) {
+                let age = now.saturating_duration_since(j.arrival);
+                let starved = age > STARVED_AFTER && !j.begun();
+                let priority = if starved && age > LIFT_AFTER {
+                    Priority::Production
+                } else {
+                    j.spec.priority
+                };
+                let tier = if starved {
+                    Tier::Starved
+                } else if within.contains(id) {
                     Tier::Guaranteed
                 } else {
                     self.tier(j, now)
@@ -253,7 +275,7 @@
                     }
                     _ => j.arrival,
                 };
-                (*id, (std::cmp::Reverse(j.spec.priority), tier, by, *id))
+                (*id, (std::cmp::Reverse(priority), tier, by, *id))
             })
             .collect()
     }
@@ -282,14 +304,11 @@
     /// What each team's tasks use, or may use, wherever they may be.
     pub fn usage(&self) -> HashMap<String, Usage> {
         let mut use_of: HashMap<String, Usage> = HashMap::new();
-        for m in self.machines.values() {
-            for s in m.slots.values().filter(|s| s.takes_room()) {
-                if let Some(spec) = &s.spec {
-                    let u = use_of.entry(spec.team.clone()).or_default();
-                    u.cpus += spec.cpus;
-                    u.gpus += spec.gpus;
-                }
-            }
+        for j in self.jobs.values().filter(|j| j.placed > 0) {
+            let n = f64::from(j.placed);
+            let u = use_of.entry(j.spec.team.clone()).or_default();
+            u.cpus += n * j.spec.cpus;
+            u.gpus += n * j.spec.gpus;
         }
         use_of
     }
@@ -301,17 +320,24 @@
             && !m.cordoned
             && !m.addr.is_empty()
             && m.full_until.is_none_or(|t| t <= now)
+            // It may hang, or hear nothing of what it is told.
+            && m.unanswered.is_none()
             && m.heard
                 .is_some_and(|h| now.saturating_duration_since(h) < self.config.report * 2)
     }
 
-    /// Most slots whose names fit a machine's record.
-    pub fn slots_per_machine(&self) -> usize {
-        (self.config.value_bytes.saturating_sub(512) / 48).max(1)
-    }
-
     /// One scheduling round.
     pub fn plan(&mut self, now: Instant) -> Round {
+        self.round(now, false)
+    }
+
+    /// A round that places every task by itself: the plain rule, which the
+    /// ordinary round is measured by.
+    pub fn plan_one_by_one(&mut self, now: Instant) -> Round {
+        self.round(now, true)
+    }
+
+    fn round(&mut self, now: Instant, plainly: bool) -> Round {
         let mut round = Round::default();
         let ranks = self.ranks(now);
         let mut queue: Vec<(Rank, JobId)> = self
@@ -326,12 +352,13 @@
         }
         queue.sort_unstable();
         self.end_broken_gangs(now);
-        let mut p = Planner::new(self, ranks, now);
+        let mut p = Planner::new(self, ranks, now, plainly);
 
         // In order, until the head stalls.
         let mut head: Option<(usize, Rank)> = None;
         for (at, (rank, id)) in queue.iter().enumerate() {
-            let tried = p.place_all(*id, false, None, &mut round.in_order);
+            let most = p.first_tasks(*id, rank.1);
+            let tried = p.place_all(*id, false, None, most, &mut round.in_order);
             if tried == Tried::NoRoom {
                 head = Some((at, *rank));
                 break;
@@ -342,31 +369,30 @@
             return round;
         };
         let head_id = queue[at].1;
-        p.shade(head_rank);
 
         // Shadow load preemption.
-        while p.preempt_for(head_id, &mut round) {}
-        p.place_all(head_id, false, None, &mut round.in_order);
+        p.preempt_for(head_id, head_rank, &mut round);
         let rest = &queue[at + 1..];
 
         // Venture backfilling within the reservation, nearest finish first.
-        let reservation = p.reservation(head_id);
-        let mut by_finish: Vec<(Duration, Rank, JobId)> = rest
-            .iter()
-            .filter_map(|(r, id)| {
-                let spec = &p.model.jobs.get(id)?.spec;
-                Some((p.model.predict(spec), *r, *id))
-            })
-            .collect();
-        by_finish.sort_unstable();
-        if let Some(limit) = reservation {
-            for (_, _, id) in &by_finish {
-                p.place_all(*id, true, Some(limit), &mut round.backfilled);
+        if rest.iter().any(|(_, id)| p.fits_somewhere(*id)) {
+            let mut by_finish: Vec<(Duration, Rank, JobId)> = rest
+                .iter()
+                .filter_map(|(r, id)| {
+                    let spec = &p.model.jobs.get(id)?.spec;
+                    Some((p.model.predict(spec), *r, *id))
+                })
+                .collect();
+            by_finish.sort_unstable();
+            if let Some(limit) = p.reservation(head_id) {
+                for (_, _, id) in &by_finish {
+                    p.place_all(*id, true, Some(limit), u32::MAX, &mut round.backfilled);
+                }
+            }
+            // Then whatever room is left, by priority.
+            for (_, id) in rest {
+                p.place_all(*id, true, None, u32::MAX, &mut round.backfilled);
             }
-        }
-        // Then whatever room is left, by priority.
-        for (_, id) in rest {
-            p.place_all(*id, true, None, &mut round.backfilled);
         }
         let ranks = std::mem::take(&mut p.ranks);
         self.settle_shadow(&ranks, now);
@@ -399,6 +425,9 @@
     }
 
     fn all_sunny(&mut self) {
+        if !std::mem::take(&mut self.shadows) {
+            return;
+        }
         for s in self.machines.values_mut().flat_map(|m| m.slots.values_mut()) {
             s.backfilled = false;
         }
@@ -406,6 +435,9 @@
 
     /// A backfilled task that no waiting job outranks any more is sunny.
     fn settle_shadow(&mut self, ranks: &BTreeMap<JobId, Rank>, now: Instant) {
+        if !self.shadows {
+            return;
+        }
         let top = self
             .jobs
             .values()
@@ -428,45 +460,93 @@
     now: Instant,
     ranks: BTreeMap<JobId, Rank>,
     rooms: Vec<Room>,
+    /// Rooms that may still fit something that waits.
+    open: Vec<usize>,
+    /// The rooms' loads are filled in; they are needed for the head alone.
+    loaded: bool,
+    /// Every task is placed by itself.
+    plainly: bool,
     usage: HashMap<String, Usage>,
     types: Vec<MachineType>,
+    /// Names of zones.
+    names: Vec<String>,
     /// Tasks of a job by zone, where a placement rule asks for it.
     zones: HashMap<JobId, BTreeMap<String, u32>>,
 }
 
 impl<'m> Planner<'m> {
-    fn new(model: &'m mut Model, ranks: BTreeMap<JobId, Rank>, now: Instant) -> Self {
+    fn new(model: &'m mut Model, ranks: BTreeMap<JobId, Rank>, now: Instant, plainly: bool) -> Self {
         let usage = model.usage();
         let types = model.types.clone();
-        let most = model.slots_per_machine();
+        let mut names: Vec<String> = Vec::new();
+        // The least that any waiting task takes.
+        let least = model
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled && j.waiting.count() > 0)
+            .map(|j| j.spec.cpus)
+            .fold(f64::MAX, f64::min);
         let mut rooms = Vec::new();
+        let mut open = Vec::new();
         for m in model.machines.values().filter(|m| model.usable(m, now)) {
             let Some(kind) = types.iter().position(|t| t.name == m.machine_type) else {
                 continue;
             };
             let t = &types[kind];
-            let mut room = Room {
+            let zone = names.iter().position(|z| *z == m.zone).unwrap_or_else(|| {
+                names.push(m.zone.clone());
+                names.len() - 1
+            });
+            let (cpus, gpus, memory) = m.used();
+            let room = Room {
                 machine: m.id.clone(),
-                zone: m.zone.clone(),
+                zone,
                 spot: m.spot,
                 kind,
-                cpus: t.cpus,
-                gpus: t.gpus,
-                memory: t.memory_gb,
-                slots_left: most.saturating_sub(m.slots.len()),
+                cpus: t.cpus - cpus,
+                gpus: t.gpus - gpus,
+                memory: t.memory_gb - memory,
+                closed: false,
                 recall: m.recall,
                 load: Vec::new(),
             };
+            if room.cpus + EPS >= least {
+                open.push(rooms.len());
+            }
+            rooms.push(room);
+        }
+        Self {
+            model,
+            now,
+            ranks,
+            rooms,
+            open,
+            loaded: false,
+            plainly,
+            usage,
+            types,
+            names,
+            zones: HashMap::new(),
+        }
+    }
+
+    /// Fills in what runs on the machines; as shadow only what the head outranks.
+    fn load(&mut self, head: Rank) {
+        self.loaded = true;
+        let (model, now) = (&*self.model, self.now);
+        for room in &mut self.rooms {
+            let Some(m) = model.machines.get(&room.machine) else {
+                continue;
+            };
             for (task, s) in m.slots.iter().filter(|(_, s)| s.takes_room()) {
                 let Some(spec) = &s.spec else { continue };
-                room.cpus -= spec.cpus;
-                room.gpus -= spec.gpus;
-                room.memory -= spec.memory_gb;
+                let rank = self.ranks.get(&task.job).copied();
                 let grace = if spec.checkpoint_s > 0.0 {
                     Duration::from_secs_f64(spec.save_s)
                 } else {
                     Duration::ZERO
                 };
+                let stoppable = s.backfilled && s.stop.is_none() && !matches!(s.state, SlotState::Saving);
                 room.load.push(Load {
                     end: if s.stop.is_some() {
                         now
@@ -476,33 +556,38 @@
                     cpus: spec.cpus,
                     gpus: spec.gpus,
                     memory: spec.memory_gb,
-                    shadow: s.backfilled && s.stop.is_none() && !matches!(s.state, SlotState::Saving),
-                    rank: ranks.get(&task.job).copied(),
+                    shadow: stoppable && rank.is_some_and(|r| r > head),
+                    rank,
                     task: *task,
                     grace,
                     started: s.running_since.unwrap_or(s.placed_at),
                 });
             }
-            rooms.push(room);
-        }
-        Self {
-            model,
-            now,
-            ranks,
-            rooms,
-            usage,
-            types,
-            zones: HashMap::new(),
         }
     }
 
-    /// Keeps as shadow only what the head outranks.
-    fn shade(&mut self, head: Rank) {
-        for l in self.rooms.iter_mut().flat_map(|r| r.load.iter_mut()) {
-            l.shadow &= l.rank.is_some_and(|r| r > head);
+    /// How many tasks of a job go in its present place in the queue.
+    fn first_tasks(&self, id: JobId, tier: Tier) -> u32 {
+        match self.model.jobs.get(&id) {
+            Some(j) if tier == Tier::Starved && j.spec.kind != Kind::Gang => BEGIN_TASKS,
+            _ => u32::MAX,
         }
     }
 
+    /// Whether some machine has free room for a task of a job.
+    fn fits_somewhere(&self, id: JobId) -> bool {
+        self.model
+            .jobs
+            .get(&id)
+            .is_some_and(|j| self.open.iter().any(|at| self.rooms[*at].fits(&j.spec)))
+    }
+
+    /// Forgets rooms that are too small by now.
+    fn tidy(&mut self) {
+        let rooms = &self.rooms;
+        self.open.retain(|at| rooms[*at].cpus > EPS);
+    }
+
     /// Whether the team's limit leaves room for so many more tasks.
     fn within_limit(&self, spec: &JobSpec, tasks: usize) -> bool {
         let n = tasks as f64;
@@ -558,16 +643,28 @@
     fn machine_allowed(&self, spec: &JobSpec, room: &Room) -> bool {
         (spec.spot || !room.spot)
             && type_allowed(spec, &self.types[room.kind])
-            && room.slots_left > 0
+            && !room.closed
             && room
                 .recall
                 .is_none_or(|r| self.now + self.model.predict(spec) < r)
     }
 
-    /// Places as many of a job's waiting tasks as fit, a gang's all or none;
-    /// with `limit`, only where they are predicted to end by then.
-    fn place_all(&mut self, id: JobId, backfill: bool, limit: Option<Instant>, count: &mut u32) -> Tried {
-        loop {
+    /// Places as many of a job's waiting tasks as fit and `most` allows, a
+    /// gang's all or none; with `limit`, only where they are predicted to end
+    /// by then.
+    fn place_all(
+        &mut self,
+        id: JobId,
+        backfill: bool,
+        limit: Option<Instant>,
+        most: u32,
+        count: &mut u32,
+    ) -> Tried {
+        if !self.plainly && self.alike(id) {
+            return self.place_alike(id, backfill, limit, most, count);
+        }
+        let until = count.saturating_add(most);
+        while *count < until {
             let Some(batch) = self.next_batch(id) else {
                 return Tried::Placed;
             };
@@ -580,24 +677,118 @@
             *count += places.len() as u32;
             self.take(places, backfill, id);
         }
+        Tried::Placed
     }
 
-    /// Stops shadow tasks if that starts the head's next task (a gang: all of
-    /// them) at once; lowest priority first, where the least work is lost.
-    fn preempt_for(&mut self, head: JobId, round: &mut Round) -> bool {
-        let Some(batch) = self.next_batch(head) else {
-            return false;
+    /// Whether a job's tasks are all placed by the same rule, whatever became
+    /// of the others: then they are placed together.
+    fn alike(&self, id: JobId) -> bool {
+        self.model.jobs.get(&id).is_some_and(|j| {
+            j.spec.kind != Kind::Gang && !j.spec.one_zone && !j.spec.spread && j.failed_on.len() < 3
+        })
+    }
+
+    /// [`Planner::place_all`] for tasks that are alike: the machines are judged
+    /// once, then filled from the best on, as one by one would do it.
+    fn place_alike(
+        &mut self,
+        id: JobId,
+        backfill: bool,
+        limit: Option<Instant>,
+        most: u32,
+        count: &mut u32,
+    ) -> Tried {
+        let Some(job) = self.model.jobs.get(&id) else {
+            return Tried::Placed;
         };
-        if self.barred(head, batch.len()) {
-            return false;
+        if job.waiting.count() == 0 || most == 0 {
+            return Tried::Placed;
+        }
+        if self.barred(id, 1) {
+            return Tried::Barred;
+        }
+        let spec = job.spec.clone();
+        let mut good: Vec<(Score, usize)> = self
+            .open
+            .iter()
+            .filter_map(|at| Some((self.judge(&self.rooms[*at], &spec, None, limit, false)?.0, *at)))
+            .collect();
+        if good.is_empty() {
+            return Tried::NoRoom;
+        }
+        good.sort_unstable_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+        let waiting: Vec<u32> = job.waiting.iter().take(most as usize).collect();
+        let attempt = self.model.new_attempt();
+        let mut left = waiting.into_iter().peekable();
+        let mut outcome = Tried::NoRoom;
+        'machines: for (_, at) in good {
+            // A task that has just ended here is not known to be forgotten yet.
+            let mut passed = Vec::new();
+            while self.rooms[at].fits(&spec) {
+                let Some(index) = left.next() else { break };
+                let task = TaskId { job: id, index };
+                let m = self.model.machines.get(&self.rooms[at].machine);
+                if m.is_none_or(|m| m.slots.contains_key(&task)) {
+                    passed.push(index);
+                    continue;
+                }
+                if !self.within_limit(&spec, 1) {
+                    outcome = Tried::Barred;
+                    break 'machines;
+                }
+                *count += 1;
+                let place = Place {
+                    at,
+                    task,
+                    victims: Vec::new(),
+                };
+                self.take_one(place, backfill, &spec, attempt);
+            }
+            left = passed
+                .into_iter()
+                .chain(left)
+                .collect::<Vec<_>>()
+                .into_iter()
+                .peekable();
+            if left.peek().is_none() {
+                outcome = Tried::Placed;
+                break;
+            }
+        }
+        self.tidy();
+        // At its limit it is skipped, whatever room there is.
+        if outcome == Tried::NoRoom && !self.within_limit(&spec, 1) {
+            return Tried::Barred;
+        }
+        outcome
+    }
+
+    /// Stops shadow tasks if that starts tasks of the head (a gang: all of
+    /// them) at once; lowest priority first, where the least work is lost.
+    fn preempt_for(&mut self, head: JobId, rank: Rank, round: &mut Round) {
+        if !self.model.shadows {
+            return;
+        }
+        self.load(rank);
+        if !self.rooms.iter().any(|r| r.load.iter().any(|l| l.shadow)) {
+            return;
+        }
+        let mut left = self.first_tasks(head, rank.1);
+        while left > 0 {
+            let Some(batch) = self.next_batch(head) else {
+                return;
+            };
+            if self.barred(head, batch.len()) {
+                return;
+            }
+            let Some(places) = self.find(head, &batch, None, true) else {
+                return;
+            };
+            round.preempted += places.iter().map(|p| p.victims.len() as u32).sum::<u32>();
+            round.in_order += places.len() as u32;
+            left = left.saturating_sub(places.len() as u32);
+            self.take(places, false, head);
         }
-        let Some(places) = self.find(head, &batch, None, true) else {
-            return false;
-        };
-        round.preempted += places.iter().map(|p| p.victims.len() as u32).sum::<u32>();
-        round.in_order += places.len() as u32;
-        self.take(places, false, head);
-        true
     }
 
     /// What is to be placed together: one task, or all of a gang.
@@ -646,23 +837,23 @@
                 .map(|p| vec![p]);
         }
         // A job bound to one zone takes the one with the most room for it.
-        let mut tries: Vec<Option<String>> = vec![None];
+        let mut tries: Vec<Option<usize>> = vec![None];
         if unbound {
-            let mut room_in: BTreeMap<&String, u32> = BTreeMap::new();
+            let mut room_in: BTreeMap<usize, u32> = BTreeMap::new();
             for r in self.rooms.iter().filter(|r| self.machine_allowed(&spec, r)) {
-                *room_in.entry(&r.zone).or_default() += r.room_for(&spec);
+                *room_in.entry(r.zone).or_default() += r.room_for(&spec);
             }
             let mut by_room: Vec<_> = room_in.into_iter().collect();
             by_room.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
-            tries = by_room.into_iter().map(|(z, _)| Some(z.clone())).collect();
+            tries = by_room.into_iter().map(|(z, _)| Some(z)).collect();
         }
         for only in tries {
             let mut rooms = self.rooms.clone();
-            if let Some(z) = &only {
+            if let Some(z) = only {
                 rooms
                     .iter_mut()
-                    .filter(|r| r.zone != *z)
-                    .for_each(|r| r.slots_left = 0);
+                    .filter(|r| r.zone != z)
+                    .for_each(|r| r.closed = true);
             }
             let mut found = Vec::new();
             let mut counts = zones.take();
@@ -683,7 +874,7 @@
                 }
                 room.claim(&spec);
                 if let Some(c) = &mut counts {
-                    *c.entry(room.zone.clone()).or_default() += 1;
+                    *c.entry(self.names[room.zone].clone()).or_default() += 1;
                 }
                 found.push(p);
             }
@@ -706,93 +897,122 @@
         limit: Option<Instant>,
         preempt: bool,
     ) -> Option<Place> {
-        let job = self.model.jobs.get(&task.job)?;
-        let run = self.model.predict(spec);
         let mut best: Option<(Score, Place)> = None;
         for (at, room) in rooms.iter().enumerate() {
-            let free = room.fits(spec);
-            if !(free || preempt)
-                || !self.machine_allowed(spec, room)
-                || !Self::zone_allowed(spec, zones, &room.zone)
-            {
-                continue;
-            }
-            let Some(m) = self.model.machines.get(&room.machine) else {
-                continue;
+            let taken = || {
+                let m = self.model.machines.get(&room.machine);
+                m.is_none_or(|m| m.slots.contains_key(&task))
             };
-            if m.slots.contains_key(&task) {
+            let Some((score, victims)) = self.judge(room, spec, zones, limit, preempt) else {
                 continue;
-            }
-            let (lost, victims) = if free {
-                (Duration::ZERO, Vec::new())
-            } else {
-                match room.victims(spec, self.now) {
-                    Some(v) => v,
-                    None => continue,
-                }
             };
-            let cached = m.has_image(&spec.image);
-            let kind = &self.types[room.kind];
+            if !taken() && best.as_ref().is_none_or(|(b, _)| score < *b) {
+                best = Some((score, Place { at, task, victims }));
+            }
+        }
+        best.map(|(_, p)| p)
+    }
+
+    /// How good a machine is for a job's task, and what would have to stop.
+    fn judge(
+        &self,
+        room: &Room,
+        spec: &JobSpec,
+        zones: Option<&BTreeMap<String, u32>>,
+        limit: Option<Instant>,
+        preempt: bool,
+    ) -> Option<(Score, Vec<TaskId>)> {
+        let free = room.fits(spec);
+        if !(free || preempt)
+            || !self.machine_allowed(spec, room)
+            || !Self::zone_allowed(spec, zones, &self.names[room.zone])
+        {
+            return None;
+        }
+        let job = self.model.jobs.get(&spec.id)?;
+        let m = self.model.machines.get(&room.machine)?;
+        let (lost, victims) = if free {
+            (Duration::ZERO, Vec::new())
+        } else {
+            room.victims(spec, self.now)?
+        };
+        let cached = m.has_image(&spec.image);
+        let kind = &self.types[room.kind];
+        if let Some(limit) = limit {
             let fetch = if cached || kind.fetch_gb_per_s <= 0.0 {
                 Duration::ZERO
             } else {
                 Duration::from_secs_f64(spec.image_gb / kind.fetch_gb_per_s)
             };
-            if limit.is_some_and(|l| self.now + run + fetch > l) {
-                continue;
-            }
-            let failed = job.failed_on.contains(&m.id);
-            let price = if room.spot { kind.spot_price } else { kind.price } / kind.cpus.max(1.0);
-            // Spot first, for what it costs, then the fullest machine.
-            let score = (lost, failed, !cached, !room.spot, price, room.cpus - spec.cpus);
-            if best.as_ref().is_none_or(|(b, _)| score < *b) {
-                best = Some((score, Place { at, task, victims }));
+            if self.now + self.model.predict(spec) + fetch > limit {
+                return None;
             }
         }
-        best.map(|(_, p)| p)
+        let failed = job.failed_on.contains(&m.id);
+        let price = if room.spot { kind.spot_price } else { kind.price } / kind.cpus.max(1.0);
+        // Spot first, for what it costs, then the fullest machine.
+        let score = (lost, failed, !cached, !room.spot, price, room.cpus - spec.cpus);
+        Some((score, victims))
     }
 
     fn take(&mut self, places: Vec<Place>, backfill: bool, id: JobId) {
         let Some(job) = self.model.jobs.get(&id) else {
             return;
         };
-        let (spec, rank) = (job.spec.clone(), self.ranks.get(&id).copied());
-        let end = self.now + self.model.predict(&spec);
+        let spec = job.spec.clone();
         // Tasks of a gang know each other by their common attempt.
         let attempt = self.model.new_attempt();
         for p in places {
-            let machine = self.rooms[p.at].machine.clone();
-            for v in &p.victims {
-                let room = &mut self.rooms[p.at];
-                if let Some(i) = room.load.iter().position(|l| l.task == *v) {
-                    let l = room.load.remove(i);
-                    room.give_back(&l);
-                    let why = format!("shadow of {id}");
-                    self.model.stop(&machine, l.task, l.grace, self.now, &why);
+            self.take_one(p, backfill, &spec, attempt);
+        }
+    }
+
+    fn take_one(&mut self, p: Place, backfill: bool, spec: &JobSpec, attempt: u64) {
+        let machine = self.rooms[p.at].machine.clone();
+        for v in &p.victims {
+            let room = &mut self.rooms[p.at];
+            if let Some(i) = room.load.iter().position(|l| l.task == *v) {
+                let l = room.load.remove(i);
+                room.give_back(&l);
+                if !self.open.contains(&p.at) {
+                    // More may fall free than the head takes.
+                    self.open.push(p.at);
                 }
+                self.model
+                    .stop(&machine, l.task, l.grace, self.now, "shadow of the head");
             }
-            let room = &mut self.rooms[p.at];
-            room.claim(&spec);
+        }
+        let end = self.now + self.model.predict(spec);
+        let room = &mut self.rooms[p.at];
+        room.claim(spec);
+        if self.loaded {
             room.load.push(Load {
                 end,
                 cpus: spec.cpus,
                 gpus: spec.gpus,
                 memory: spec.memory_gb,
                 shadow: false,
-                rank,
+                rank: self.ranks.get(&spec.id).copied(),
                 task: p.task,
                 grace: Duration::ZERO,
                 started: self.now,
             });
-            let zone = room.zone.clone();
-            let u = self.usage.entry(spec.team.clone()).or_default();
+        }
+        if let Some(u) = self.usage.get_mut(&spec.team) {
             u.cpus += spec.cpus;
             u.gpus += spec.gpus;
-            if spec.one_zone || spec.spread {
-                *self.zones_of(id).entry(zone).or_default() += 1;
-            }
-            self.model.place(&machine, p.task, attempt, backfill, self.now);
+        } else {
+            let u = Usage {
+                cpus: spec.cpus,
+                gpus: spec.gpus,
+            };
+            self.usage.insert(spec.team.clone(), u);
+        }
+        if spec.one_zone || spec.spread {
+            let zone = self.names[self.rooms[p.at].zone].clone();
+            *self.zones_of(spec.id).entry(zone).or_default() += 1;
         }
+        self.model.place(&machine, p.task, attempt, backfill, self.now);
     }
 
     /// When the head's next task is predicted to fit, counting sunny load
@@ -801,10 +1021,16 @@
         let job = self.model.jobs.get(&head)?;
         job.waiting.first()?;
         let spec = job.spec.clone();
+        if !self.loaded {
+            let rank = *self.ranks.get(&head)?;
+            self.load(rank);
+        }
         let zones = self.zone_rule(&spec);
         let mut best = None;
         for room in &self.rooms {
-            if !self.machine_allowed(&spec, room) || !Self::zone_allowed(&spec, zones.as_ref(), &room.zone) {
+            if !self.machine_allowed(&spec, room)
+                || !Self::zone_allowed(&spec, zones.as_ref(), &self.names[room.zone])
+            {
                 continue;
             }
             let mut after = room.bare();
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -1,20 +1,18 @@
 //! What is kept in the state service: enough for a new leader to know every
-//! accepted job and every machine that can hold a task.
+//! accepted job; what may be on which machine is in the log, see [`super::wal`].
 
 use serde::{Deserialize, Serialize};
 
-use crate::wire::{JobId, JobSpec, Standing, TaskId};
+use crate::wire::{JobId, JobSpec, Standing};
 
 /// Key of the leader's election.
 pub const LEADER: &str = "leader";
 /// Prefix of unfinished jobs.
 pub const JOBS: &str = "jobs/";
-/// Prefix of done-pages of jobs too large for one record.
-pub const BITS: &str = "bits/";
 /// Prefix of finished jobs.
 pub const FINALS: &str = "final/";
-/// Prefix of machines.
-pub const MACHINES: &str = "machines/";
+/// Prefix of the segments of the write-ahead log.
+pub const WAL: &str = "wal/";
 /// Prefix of jobs stored by a follower, for the leader to pick up.
 pub const INBOX: &str = "inbox/";
 /// The teams' run-to-estimate ratios.
@@ -34,13 +32,9 @@
 pub fn inbox_key(id: JobId) -> String {
     format!("{INBOX}{id}")
 }
-/// Key of a done-page.
-pub fn bits_key(id: JobId, page: u32) -> String {
-    format!("{BITS}{id}/{page}")
-}
-/// Key of a machine.
-pub fn machine_key(id: &str) -> String {
-    format!("{MACHINES}{id}")
+/// Key of a segment of the log; their order is that of their numbers.
+pub fn segment_key(number: u64) -> String {
+    format!("{WAL}{number:012}")
 }
 
 /// The election.
@@ -62,9 +56,6 @@
     /// Cancelled; tasks may still have to go.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub cancelled: bool,
-    /// Done tasks of a job of one page.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub done: String,
 }
 
 /// A finished job.
@@ -75,19 +66,3 @@
     /// Tasks done.
     pub done: u32,
 }
-
-/// A machine, and each task that may be on it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    /// Where it takes commands; empty if not known yet.
-    #[serde(default)]
-    pub addr: String,
-    /// Its type.
-    pub machine_type: String,
-    /// Its zone.
-    pub zone: String,
-    /// Whether it is a spot machine.
-    pub spot: bool,
-    /// Its tasks and their attempts.
-    pub tasks: Vec<(TaskId, u64)>,
-}
--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -5,51 +5,28 @@
 
 use tracing::info;
 
-use super::bits::BitSet;
 use super::model::{Job, Model, LEAST_RATIO};
-use super::record::{self, FinalRecord, JobRecord, MachineRecord};
+use super::record::{self, FinalRecord};
+use super::wal::{Append, Entry};
 use crate::store::Unit;
-use crate::wire::{JobId, Kind, MachineId, Standing};
+use crate::wire::{JobId, Kind, Standing};
 
-/// Done tasks are written together, at most so often for each job.
-const DONE_PAUSE: Duration = Duration::from_millis(400);
+/// Entries of the log that no start waits for are written at most so often.
+const LOG_PAUSE: Duration = Duration::from_millis(800);
+/// Bytes of the log in one transaction, below the protocol's 64 KiB.
+const MOST_BYTES: usize = 44 * 1024;
 
 /// A write that is due.
 #[derive(Debug, Clone)]
 pub enum Write {
-    /// A machine's record: which tasks may be on it.
-    Machine {
-        /// The machine.
-        id: MachineId,
-        /// The change that it holds.
-        rev: u64,
-        /// What is written.
-        record: MachineRecord,
-    },
-    /// A machine that is gone.
-    NoMachine {
-        /// The machine.
-        id: MachineId,
-    },
-    /// An unfinished job's record, with its done tasks.
-    Job {
-        /// The job.
-        id: JobId,
-        /// The change that it holds.
-        rev: u64,
-        /// What is written, for jobs of one page.
-        record: Option<Box<JobRecord>>,
-        /// Pages of done tasks, for larger jobs.
-        pages: Vec<(u32, String)>,
-    },
+    /// Segments of the write-ahead log.
+    Log(Append),
     /// A job's final state.
     Final {
         /// The job.
         id: JobId,
         /// What is written.
         record: FinalRecord,
-        /// Pages of done tasks that go.
-        pages: u32,
     },
     /// The teams' ratios.
     Ratios(BTreeMap<String, f64>),
@@ -60,27 +37,15 @@
     pub fn unit(&self) -> Unit {
         let put = |v: Result<serde_json::Value, _>| v.ok();
         let changes = match self {
-            Write::Machine { id, record, .. } => {
-                vec![(record::machine_key(id), put(serde_json::to_value(record)))]
-            }
-            Write::NoMachine { id } => vec![(record::machine_key(id), None)],
-            Write::Job {
-                id, record: Some(r), ..
-            } => {
-                vec![(record::job_key(*id), put(serde_json::to_value(r)))]
-            }
-            Write::Job { id, pages, .. } => pages
+            Write::Log(a) => a
+                .segments
                 .iter()
-                .map(|(p, t)| (record::bits_key(*id, *p), Some(t.as_str().into())))
+                .map(|(n, v)| (record::segment_key(*n), v.clone()))
                 .collect(),
-            Write::Final { id, record, pages } => {
-                let mut c = vec![
-                    (record::job_key(*id), None),
-                    (record::final_key(*id), put(serde_json::to_value(record))),
-                ];
-                c.extend((0..*pages).map(|p| (record::bits_key(*id, p), None)));
-                c
-            }
+            Write::Final { id, record } => vec![
+                (record::job_key(*id), None),
+                (record::final_key(*id), put(serde_json::to_value(record))),
+            ],
             Write::Ratios(r) => vec![(record::RATIOS.to_owned(), put(serde_json::to_value(r)))],
         };
         Unit {
@@ -94,58 +59,31 @@
     /// Takes the writes that are due now.
     pub fn take_writes(&mut self, now: Instant) -> Vec<Write> {
         let mut out = Vec::new();
-        for (id, m) in &mut self.machines {
-            // A machine whose type isn't known holds nothing yet.
-            if m.rev > m.stored_rev && !m.writing && !m.machine_type.is_empty() {
-                m.writing = true;
-                out.push(Write::Machine {
-                    id: id.clone(),
-                    rev: m.rev,
-                    record: m.record(),
-                });
-            }
+        let idle = self.log_taken.is_none_or(|t| now >= t + LOG_PAUSE);
+        let paced = self.log_taken.is_none_or(|t| now >= t + self.config.log_pause);
+        if paced && self.log.wants(idle) {
+            out.extend(self.take_log(now).map(Write::Log));
         }
-        for id in std::mem::take(&mut self.dead_records) {
-            out.push(Write::NoMachine { id });
-        }
-        let most_pages = self.config.txn_ops.saturating_sub(2).max(1);
         let mut learned = Vec::new();
         for (id, job) in &mut self.jobs {
-            if job.writing {
+            if job.writing || !job.places.is_empty() {
                 continue;
             }
-            let gone = job.places.is_empty();
-            let state = if job.cancelled && job.cancel_stored && gone {
+            let state = if job.cancelled && job.cancel_stored {
                 Standing::Cancelled
             } else if job.complete() && !job.cancelled {
+                learned.extend(ratio(job).map(|r| (job.spec.team.clone(), r)));
                 Standing::Done
             } else {
-                if job.rev > job.stored_rev
-                    && !job.cancelled
-                    && job.written_at.is_none_or(|t| now >= t + DONE_PAUSE)
-                {
-                    job.writing = true;
-                    job.written_at = Some(now);
-                    out.push(job_write(*id, job, most_pages));
-                }
                 continue;
             };
             job.writing = true;
-            if state == Standing::Done {
-                learned.extend(ratio(job).map(|r| (job.spec.team.clone(), r)));
-            }
-            let pages = BitSet::pages(job.spec.tasks);
             out.push(Write::Final {
                 id: *id,
                 record: FinalRecord {
                     state,
                     done: job.done.count(),
                 },
-                pages: if pages > 1 {
-                    pages.min(most_pages as u32)
-                } else {
-                    0
-                },
             });
         }
         for (team, r) in learned {
@@ -171,33 +109,47 @@
         out
     }
 
+    fn take_log(&mut self, now: Instant) -> Option<Append> {
+        let per = self.config.value_bytes.max(1);
+        let most = (MOST_BYTES / per)
+            .min(self.config.txn_ops.saturating_sub(1))
+            .max(1);
+        let slots: usize = self.machines.values().map(|m| m.slots.len()).sum();
+        let done: usize = self.jobs.values().map(|j| j.done.count() as usize).sum();
+        let live_bytes = self.machines.len() * 90 + slots * 50 + done * 6;
+        let (machines, jobs) = (&self.machines, &self.jobs);
+        let live = |e: &Entry| match e {
+            Entry::Machine(id, addr, ..) => machines
+                .get(id)
+                .is_some_and(|m| m.addr == *addr)
+                .then(|| e.clone()),
+            Entry::Gone(_) => None,
+            Entry::Start(id, job, attempt, tasks) => {
+                let m = machines.get(id)?;
+                let still: Vec<u32> = tasks
+                    .iter()
+                    .copied()
+                    .filter(|i| {
+                        let task = crate::wire::TaskId { job: *job, index: *i };
+                        m.slots
+                            .get(&task)
+                            .is_some_and(|s| s.attempt == *attempt && s.takes_room())
+                    })
+                    .collect();
+                (!still.is_empty()).then(|| Entry::Start(id.clone(), *job, *attempt, still))
+            }
+            Entry::Done(job, _) => jobs.contains_key(job).then(|| e.clone()),
+        };
+        let a = self.log.take(most, live_bytes, live)?;
+        self.log_taken = Some(now);
+        Some(a)
+    }
+
     /// A write is stored, or was not.
     pub fn written(&mut self, w: &Write, ok: bool, _now: Instant) {
         match w {
-            Write::Machine { id, rev, .. } => {
-                if let Some(m) = self.machines.get_mut(id) {
-                    m.writing = false;
-                    if ok {
-                        m.stored_rev = m.stored_rev.max(*rev);
-                    }
-                } else if ok {
-                    // It went while its record was being written.
-                    self.dead_records.push(id.clone());
-                }
-            }
-            Write::Job { id, rev, pages, .. } => {
-                if let Some(job) = self.jobs.get_mut(id) {
-                    job.writing = false;
-                    if ok {
-                        if job.dirty_pages.is_empty() || pages.is_empty() {
-                            job.stored_rev = job.stored_rev.max(*rev);
-                        }
-                    } else {
-                        job.dirty_pages.extend(pages.iter().map(|p| p.0));
-                    }
-                }
-            }
-            Write::Final { id, record, .. } => {
+            Write::Log(a) if ok => self.log.appended(a),
+            Write::Final { id, record } => {
                 if ok {
                     self.remove_job(*id);
                 } else if let Some(job) = self.jobs.get_mut(id) {
@@ -205,37 +157,11 @@
                     info!(job = %id, state = ?record.state, "its final state is not stored yet");
                 }
             }
-            Write::NoMachine { .. } | Write::Ratios(_) => {}
+            Write::Log(_) | Write::Ratios(_) => {}
         }
     }
 }
 
-fn job_write(id: JobId, job: &mut Job, most_pages: usize) -> Write {
-    if BitSet::pages(job.spec.tasks) == 1 {
-        job.dirty_pages.clear();
-        return Write::Job {
-            id,
-            rev: job.rev,
-            record: Some(Box::new(job.record())),
-            pages: Vec::new(),
-        };
-    }
-    let some: Vec<u32> = job.dirty_pages.iter().take(most_pages).copied().collect();
-    let pages = some
-        .into_iter()
-        .map(|p| {
-            job.dirty_pages.remove(&p);
-            (p, job.done.page(p))
-        })
-        .collect();
-    Write::Job {
-        id,
-        rev: job.rev,
-        record: None,
-        pages,
-    }
-}
-
 /// The run-to-estimate ratio of a finished job. Only what ended `done` counts,
 /// never errors or stops: a job that fails at once says nothing of run times.
 fn ratio(job: &Job) -> Option<f64> {
--- /dev/null
+++ b/src/core/wal.rs
@@ -0,0 +1,299 @@
+//! The write-ahead log: which machines there are, which task may be on which,
+//! and which tasks are done. It lies in the state service in numbered segments.
+//!
+//! A start is sent only after the entry that names it is stored, and a worker
+//! is told to forget an outcome only after its `done` is. So the log may name
+//! more than is there, never less. Segments are filled one after the other; the
+//! live entries of the oldest are written again at the end in the transaction
+//! that deletes it, so the log stays in proportion to what is live.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::wire::{JobId, MachineId, TaskId};
+
+/// An entry of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// A machine: name, address (empty if not known yet), type, zone, spot.
+    #[serde(rename = "m")]
+    Machine(MachineId, String, String, String, bool),
+    /// A machine that is gone for good, and all on it.
+    #[serde(rename = "g")]
+    Gone(MachineId),
+    /// Tasks that may be on a machine from now on, under one attempt.
+    #[serde(rename = "s")]
+    Start(MachineId, JobId, u64, Vec<u32>),
+    /// Tasks that are done.
+    #[serde(rename = "d")]
+    Done(JobId, Vec<u32>),
+}
+
+impl Entry {
+    /// Bytes that it takes in a segment.
+    fn bytes(&self) -> usize {
+        serde_json::to_string(self).map_or(0, |s| s.len() + 1)
+    }
+}
+
+/// Most task numbers in an entry, so that none outgrows a segment.
+const MOST_INDICES: usize = 200;
+
+#[derive(Debug, Default, Clone)]
+struct Segment {
+    entries: Vec<Entry>,
+    bytes: usize,
+}
+
+/// An append on its way: segments to be written, or to be deleted (`None`).
+#[derive(Debug, Clone, PartialEq)]
+pub struct Append {
+    /// Segments by number.
+    pub segments: Vec<(u64, Option<Value>)>,
+    /// Entries up to here are stored once it is.
+    pub upto: u64,
+}
+
+/// What the log says, replayed in order.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Replay {
+    /// Machines: address, type, zone, spot.
+    pub machines: BTreeMap<MachineId, (String, String, String, bool)>,
+    /// Tasks that may be on each machine, and their attempts.
+    pub starts: BTreeMap<MachineId, BTreeMap<TaskId, u64>>,
+    /// Done tasks.
+    pub done: BTreeMap<JobId, BTreeSet<u32>>,
+    /// Machines that are gone.
+    pub gone: BTreeSet<MachineId>,
+}
+
+impl Replay {
+    fn take(&mut self, e: &Entry) {
+        match e {
+            Entry::Machine(id, addr, kind, zone, spot) => {
+                self.machines
+                    .insert(id.clone(), (addr.clone(), kind.clone(), zone.clone(), *spot));
+            }
+            Entry::Gone(id) => {
+                self.machines.remove(id);
+                self.starts.remove(id);
+                self.gone.insert(id.clone());
+            }
+            Entry::Start(id, job, attempt, tasks) => {
+                let on = self.starts.entry(id.clone()).or_default();
+                on.extend(tasks.iter().map(|i| (TaskId { job: *job, index: *i }, *attempt)));
+            }
+            Entry::Done(job, tasks) => self.done.entry(*job).or_default().extend(tasks),
+        }
+    }
+}
+
+/// The log as its writer knows it.
+#[derive(Debug)]
+pub struct Log {
+    /// Most bytes of a segment.
+    limit: usize,
+    segments: BTreeMap<u64, Segment>,
+    /// The segment that is being filled; those of earlier terms stay as they are.
+    open: Option<u64>,
+    next: u64,
+    /// Entries to be written, each with the mark of its last push.
+    pending: Vec<(Entry, u64)>,
+    /// A start is pending.
+    urgent: bool,
+    pushed: u64,
+    stored: u64,
+    in_flight: bool,
+}
+
+impl Log {
+    /// An empty log whose segments hold at most `value_bytes`.
+    pub fn new(value_bytes: usize) -> Self {
+        Self {
+            limit: value_bytes.saturating_sub(256).max(512),
+            segments: BTreeMap::new(),
+            open: None,
+            next: 1,
+            pending: Vec::new(),
+            urgent: false,
+            pushed: 0,
+            stored: 0,
+            in_flight: false,
+        }
+    }
+
+    /// Takes a stored segment of an earlier term. False: it can't be read.
+    pub fn load(&mut self, number: u64, value: Value) -> bool {
+        let Ok(entries) = serde_json::from_value::<Vec<Entry>>(value) else {
+            return false;
+        };
+        let bytes = entries.iter().map(Entry::bytes).sum();
+        self.segments.insert(number, Segment { entries, bytes });
+        // Numbers are never used again.
+        self.next = self.next.max(number + 1);
+        true
+    }
+
+    /// What the stored segments say.
+    pub fn replay(&self) -> Replay {
+        let mut r = Replay::default();
+        for e in self.segments.values().flat_map(|s| &s.entries) {
+            r.take(e);
+        }
+        r
+    }
+
+    /// Adds an entry; the mark that [`Log::is_stored`] is asked with.
+    pub fn push(&mut self, e: Entry) -> u64 {
+        self.urgent |= matches!(e, Entry::Start(..));
+        self.pushed += 1;
+        let joined = match (self.pending.last_mut(), &e) {
+            (Some((Entry::Start(m, j, a, list), mark)), Entry::Start(m2, j2, a2, more))
+                if m == m2 && j == j2 && a == a2 && list.len() < MOST_INDICES =>
+            {
+                list.extend(more);
+                *mark = self.pushed;
+                true
+            }
+            (Some((Entry::Done(j, list), mark)), Entry::Done(j2, more))
+                if j == j2 && list.len() < MOST_INDICES =>
+            {
+                list.extend(more);
+                *mark = self.pushed;
+                true
+            }
+            _ => false,
+        };
+        if !joined {
+            self.pending.push((e, self.pushed));
+        }
+        self.pushed
+    }
+
+    /// Whether what was pushed at `mark` is stored.
+    pub fn is_stored(&self, mark: u64) -> bool {
+        mark <= self.stored
+    }
+
+    /// Whether an append is due: at once for starts, else when it is `time`.
+    pub fn wants(&self, time: bool) -> bool {
+        !self.in_flight && !self.pending.is_empty() && (self.urgent || time)
+    }
+
+    /// Segments in the state service, as far as is known.
+    pub fn len(&self) -> usize {
+        self.segments.len()
+    }
+
+    /// Whether nothing is stored.
+    pub fn is_empty(&self) -> bool {
+        self.segments.is_empty()
+    }
+
+    /// Takes what is pending, at most so many segments. The oldest segment is
+    /// compacted with it if the log has grown well past `live_bytes`; `live`
+    /// gives what of an entry is still true.
+    pub fn take(
+        &mut self,
+        most: usize,
+        live_bytes: usize,
+        live: impl Fn(&Entry) -> Option<Entry>,
+    ) -> Option<Append> {
+        if self.in_flight || self.pending.is_empty() {
+            return None;
+        }
+        let mut changed: BTreeSet<u64> = BTreeSet::new();
+        let mut dropped = None;
+        let mut again = Vec::new();
+        let room_for = 4 + 2 * live_bytes.div_ceil(self.limit);
+        if most >= 4 && self.segments.len() > room_for {
+            let oldest = self.segments.first_key_value().map(|(n, _)| *n);
+            if let Some(n) = oldest.filter(|n| Some(*n) != self.open) {
+                let s = self.segments.remove(&n).unwrap_or_default();
+                again.extend(s.entries.iter().filter_map(&live));
+                dropped = Some(n);
+            }
+        }
+        // What is written again comes first: it is older than what is new.
+        let most = most - usize::from(dropped.is_some());
+        let pending = std::mem::take(&mut self.pending);
+        let mut upto = self.stored;
+        let mut left = Vec::new();
+        // A compacted segment's entries fit in two segments, so they go whole.
+        let all = again.into_iter().map(|e| (e, None));
+        for (e, mark) in all.chain(pending.into_iter().map(|(e, m)| (e, Some(m)))) {
+            let bytes = e.bytes();
+            let at = match self.open {
+                _ if !left.is_empty() => None,
+                Some(n) if self.segments[&n].bytes + bytes <= self.limit => Some(n),
+                _ if changed.len() >= most => None,
+                _ => {
+                    let n = self.next;
+                    self.next += 1;
+                    self.segments.insert(n, Segment::default());
+                    self.open = Some(n);
+                    Some(n)
+                }
+            };
+            let Some(at) = at else {
+                left.extend(mark.map(|m| (e, m)));
+                continue;
+            };
+            changed.insert(at);
+            upto = mark.unwrap_or(upto);
+            let s = self.segments.entry(at).or_default();
+            s.bytes += bytes;
+            s.entries.push(e);
+        }
+        self.urgent = left.iter().any(|(e, _)| matches!(e, Entry::Start(..)));
+        self.pending = left;
+        self.in_flight = true;
+        let mut segments: Vec<_> = changed
+            .iter()
+            .map(|n| {
+                let v = serde_json::to_value(&self.segments[n].entries).unwrap_or(Value::Null);
+                (*n, Some(v))
+            })
+            .collect();
+        segments.extend(dropped.map(|n| (n, None)));
+        Some(Append { segments, upto })
+    }
+
+    /// An append is stored.
+    pub fn appended(&mut self, a: &Append) {
+        self.in_flight = false;
+        self.stored = self.stored.max(a.upto);
+    }
+}
+
+/// Gone machines and their names, kept so that late copies of their words
+/// don't bring them back.
+#[derive(Debug, Default)]
+pub struct Graves {
+    set: HashSet<MachineId>,
+    order: VecDeque<MachineId>,
+}
+
+/// Names kept; a machine's words come late by minutes, not by days.
+const MOST_GRAVES: usize = 65_536;
+
+impl Graves {
+    /// Buries a machine.
+    pub fn bury(&mut self, id: MachineId) {
+        if self.set.insert(id.clone()) {
+            self.order.push_back(id);
+            if self.order.len() > MOST_GRAVES {
+                if let Some(old) = self.order.pop_front() {
+                    self.set.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// Whether it is gone.
+    pub fn contains(&self, id: &MachineId) -> bool {
+        self.set.contains(id)
+    }
+}
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -17,7 +17,7 @@
 use crate::cloud::CloudError;
 use crate::core::fleet::Wish;
 use crate::core::model::{Heard, Phase};
-use crate::core::record::{self, JobRecord, MachineRecord};
+use crate::core::record::{self, JobRecord};
 use crate::core::store_plan::Write;
 use crate::core::Model;
 use crate::node::{accepted, view_reply, wall_ms, Lookup, Node, Role};
@@ -26,6 +26,10 @@
 use crate::wire::{JobId, JobSpec, MachineId, Report, ReportReply};
 use crate::worker::{self, Commanded};
 
+/// Machines without other orders that are sent a command in one round, to
+/// learn what is on them: a new leader has to ask them all.
+const PROBES: usize = 24;
+
 /// A worker that came back from the controller it was sent to is not sent
 /// there again for so long.
 const AVOID: Duration = Duration::from_secs(30);
@@ -190,8 +194,7 @@
     async fn load(&self) -> Result<(), StoreError> {
         let store = &self.node.store;
         let (jobs, _) = store.list(record::JOBS).await?;
-        let (bits, _) = store.list(record::BITS).await?;
-        let (machines, _) = store.list(record::MACHINES).await?;
+        let (segments, _) = store.list(record::WAL).await?;
         let ratios = store.get(record::RATIOS).await?;
         let types = store.get(record::TYPES).await?;
         let now = Instant::now();
@@ -206,26 +209,17 @@
             let age = Duration::from_millis(wall.saturating_sub(r.at));
             m.add_job(r, now.checked_sub(age).unwrap_or(now));
         }
-        for item in bits {
+        for item in segments {
             self.writer.know(&item.key, item.version);
-            let name = item.key.trim_start_matches(record::BITS);
-            let parsed = name
-                .split_once('/')
-                .and_then(|(j, p)| Some((j.parse().ok()?, p.parse().ok()?)));
-            if let (Some((id, page)), Some(text)) = (parsed, item.value.as_str()) {
-                if let Some(job) = m.jobs.get_mut(&id) {
-                    job.load_page(page, text);
-                }
-            }
-        }
-        for item in machines {
-            self.writer.know(&item.key, item.version);
-            let id: MachineId = item.key.trim_start_matches(record::MACHINES).into();
-            match serde_json::from_value::<MachineRecord>(item.value) {
-                Ok(r) => m.load_machine(id, r, now),
-                Err(_) => info!(key = item.key, "an unreadable machine record is left alone"),
+            let number = item.key.trim_start_matches(record::WAL).parse();
+            let read = number.is_ok_and(|n| m.log.load(n, item.value));
+            if !read {
+                // What it names is unknown: nothing may be placed.
+                info!(key = item.key, "a segment of the log can't be read");
+                return Err(StoreError::Unanswered);
             }
         }
+        m.load_log(now);
         if let Ok(item) = ratios {
             self.writer.know(record::RATIOS, item.version);
             if let Ok(r) = serde_json::from_value(item.value) {
@@ -365,11 +359,15 @@
 
     async fn see_machines(self: Arc<Self>) {
         loop {
+            let mut pages = 1;
             if let Ok(list) = self.node.cloud.machines().await {
+                pages += list.len() as u32 / 500;
                 self.model.lock().listed(&list, Instant::now());
                 self.kick.notify_one();
             }
-            sleep(Duration::from_secs(4)).await;
+            // A long list is read less often: rentals and releases share the
+            // cloud's rate with it.
+            sleep(Duration::from_secs(4) * pages).await;
         }
     }
 
@@ -399,7 +397,7 @@
                 let mut tries = 0;
                 loop {
                     if !self.may_act() {
-                        break self.model.lock().rental_failed(&rental, Instant::now());
+                        break self.model.lock().rental_failed(&rental, false, Instant::now());
                     }
                     match cloud.rent(&rental).await {
                         Ok(ids) => {
@@ -414,7 +412,8 @@
                         }
                         Err(e) => {
                             info!(request = rental.request, error = %e, "not rented");
-                            self.model.lock().rental_failed(&rental, Instant::now());
+                            let none = e == CloudError::NoCapacity;
+                            self.model.lock().rental_failed(&rental, none, Instant::now());
                             break;
                         }
                     }
@@ -424,7 +423,7 @@
                 let ok = match cloud.release(&ids).await {
                     Ok(()) => true,
                     Err(e) => {
-                        info!(?ids, error = %e, "not released yet");
+                        info!(machines = ids.len(), error = %e, "not released yet");
                         false
                     }
                 };
@@ -437,10 +436,14 @@
     async fn rounds(self: Arc<Self>) {
         loop {
             let _ = timeout(Duration::from_millis(500), self.kick.notified()).await;
+            let began = Instant::now();
             if self.may_act() {
                 self.round();
             }
-            sleep(self.node.tuning.plan_pause).await;
+            // A round that took long is followed by a longer pause, so that
+            // users and workers are answered meanwhile.
+            let pause = self.node.tuning.plan_pause;
+            sleep(pause.max((began.elapsed() * 4).min(pause * 10))).await;
         }
     }
 
@@ -452,11 +455,7 @@
             debug!(?r, "round");
         }
         let writes = m.take_writes(now);
-        let ids: Vec<MachineId> = m.machines.keys().cloned().collect();
-        let commands: Vec<_> = ids
-            .into_iter()
-            .filter_map(|id| m.command(&id, now).map(|(addr, c)| (id, addr, c)))
-            .collect();
+        let commands = m.commands(now, PROBES);
         drop(m);
         for w in writes {
             let reign = self.clone();
@@ -488,12 +487,17 @@
         let result = self.writer.commit(unit).await;
         if let Err(CommitError::Conflict(keys)) = &result {
             info!(?keys, "a write met a changed key");
+            if matches!(w, Write::Log(_)) {
+                // The log is this term's alone: what it holds is in doubt now,
+                // and the next term reads it anew.
+                return self.end();
+            }
         }
         let ok = result.is_ok();
-        if let (true, Write::Final { id, record, .. }) = (ok, &w) {
+        if let (true, Write::Final { id, record }) = (ok, &w) {
             // Before the job leaves the model, so that no answer falls between.
             self.node.finals.lock().keep(*id, record.state, record.done);
-            info!(job = %id, state = ?record.state, "finished");
+            debug!(job = %id, state = ?record.state, "finished");
         }
         self.model.lock().written(&w, ok, Instant::now());
         self.kick.notify_one();
@@ -520,7 +524,6 @@
             spec,
             at: wall_ms(),
             cancelled: false,
-            done: String::new(),
         };
         if !self.node.record_fits(&rec) {
             let bad = Reply::error(400, "the job's description is too long");
@@ -548,7 +551,7 @@
         };
         self.writer.commit(unit).await?;
         let s: &JobSpec = &rec.spec;
-        info!(job = %id, team = s.team, class = s.class, tasks = s.tasks, cpus = s.cpus, "accepted");
+        debug!(job = %id, team = s.team, class = s.class, tasks = s.tasks, cpus = s.cpus, "accepted");
         self.model.lock().add_job(rec, Instant::now());
         self.kick.notify_one();
         Ok(())
@@ -686,35 +689,43 @@
             Err(e) => return Reply::error(400, &e.to_string()),
         };
         let now = Instant::now();
-        let token = {
+        let may_act = self.may_act();
+        let (heard, answer) = {
             let mut m = self.model.lock();
             let heard = m.heard(&r, now);
-            let releasing = m
-                .machines
-                .get(&r.machine)
-                .is_some_and(|m| m.phase == Phase::Releasing);
+            let known = m.machines.get(&r.machine);
+            if known.is_some_and(|m| m.phase == Phase::Releasing) {
+                return Reply::later("this machine is being returned");
+            }
             match heard {
                 Heard::Gone => return Reply::later("this machine was returned"),
-                Heard::Old => return Reply::later("an older report"),
-                Heard::Taken if releasing => return Reply::later("this machine is being returned"),
-                Heard::Taken => {}
+                // A command's answer has overtaken it, or it is a late copy,
+                // whose answer reaches nobody.
+                Heard::Old if known.is_none_or(|m| m.newest.0 != r.session) => {
+                    return Reply::later("an older report")
+                }
+                Heard::Old | Heard::Taken => {}
             }
-            m.reply_token(&r.machine, r.token)
+            (heard, m.reply(&r.machine, r.token))
         };
-        self.kick.notify_one();
-        let Some(token) = token else {
+        if heard == Heard::Taken {
+            self.kick.notify_one();
+        }
+        let Some((token, commands)) = answer else {
+            // Only an elected one gives out such tokens.
+            info!(
+                term = self.term,
+                token = r.token,
+                "a newer leader has spoken to a worker"
+            );
+            self.end();
             return Reply::later("a newer leader has spoken to this worker");
         };
         if let Some(to) = self.redirect(&r.machine, via, now) {
             return Node::elsewhere(&to);
         }
-        Reply::json(
-            200,
-            &ReportReply {
-                token,
-                commands: Vec::new(),
-            },
-        )
+        let commands = if may_act { commands } else { Vec::new() };
+        Reply::json(200, &ReportReply { token, commands })
     }
 
     fn redirect(&self, machine: &MachineId, via: &str, now: Instant) -> Option<String> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,6 @@
 use tracing::{debug, info};
 
 use crate::cloud::Cloud;
-use crate::core::bits::BitSet;
 use crate::core::model::{admissible, Config, Unfit};
 use crate::core::record::{self, FinalRecord, JobRecord};
 use crate::http::Http;
@@ -248,10 +247,7 @@
     /// Answers another controller's question.
     pub async fn answer_peer(&self, from: &str, ask: Ask) -> Reply {
         if let Ask::Report(body) = ask {
-            return match self.role() {
-                Role::Leading(reign) => reign.report(&body, from),
-                _ => Reply::not_leading(),
-            };
+            return self.answer_report(from, &body);
         }
         let Some(reign) = self.reign() else {
             return Reply::not_leading();
@@ -270,6 +266,14 @@
         }
     }
 
+    /// Answers a report that another controller passes on.
+    pub fn answer_report(&self, from: &str, body: &[u8]) -> Reply {
+        match self.role() {
+            Role::Leading(reign) => reign.report(body, from),
+            _ => Reply::not_leading(),
+        }
+    }
+
     // ---- users ---------------------------------------------------------
 
     /// A submission.
@@ -420,14 +424,8 @@
 
     /// Whether the record fits the state service.
     pub fn record_fits(&self, record: &JobRecord) -> bool {
-        // Room for the done tasks, which are kept beside the description.
-        let done = if BitSet::pages(record.spec.tasks) == 1 {
-            record.spec.tasks.div_ceil(64) * 16
-        } else {
-            0
-        };
-        let spare = done as usize + 64;
-        serde_json::to_vec(record).is_ok_and(|v| v.len() + spare <= self.config.value_bytes)
+        // A cancellation adds to it.
+        serde_json::to_vec(record).is_ok_and(|v| v.len() + 64 <= self.config.value_bytes)
     }
 
     /// Stores a new job without the leader, who finds it by its inbox mark.
@@ -451,7 +449,6 @@
             spec,
             at: wall_ms(),
             cancelled: false,
-            done: String::new(),
         };
         if !self.record_fits(&rec) {
             return Reply::error(400, "the job's description is too long");
@@ -539,12 +536,9 @@
         Lookup::Absent => Reply::error(404, "no such job"),
         Lookup::Final(v) => Reply::json(200, v),
         Lookup::Active(r, _) => {
-            let mut done = BitSet::new(r.spec.tasks);
-            done.merge_page(0, &r.done);
+            // How far it is, only the leader knows.
             let state = if r.cancelled {
                 Standing::Cancelled
-            } else if done.count() > 0 {
-                Standing::Running
             } else {
                 Standing::Queued
             };
@@ -553,7 +547,7 @@
                 &JobView {
                     id,
                     state,
-                    done: done.count(),
+                    done: 0,
                     running: 0,
                 },
             )
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -20,6 +20,8 @@
 
 /// Largest frame.
 const MOST_FRAME: usize = 256 * 1024;
+/// Bytes of frames sent together.
+const MOST_BATCH: usize = 64 * 1024;
 /// Pause between two pings.
 const PING: Duration = Duration::from_millis(500);
 /// A link that says nothing for so long is cut.
@@ -94,12 +96,14 @@
     Answer { id: u64, term: u64, reply: Reply },
 }
 
-fn encode(frame: &Frame) -> io::Result<Vec<u8>> {
-    let mut out = vec![0; 4];
-    frame.serialize(&mut out)?;
-    let len = (out.len() - 4) as u32;
-    out[..4].copy_from_slice(&len.to_be_bytes());
-    Ok(out)
+/// Appends a frame to what is to be sent.
+fn encode(frame: &Frame, out: &mut Vec<u8>) -> io::Result<()> {
+    let at = out.len();
+    out.extend([0; 4]);
+    frame.serialize(out)?;
+    let len = (out.len() - at - 4) as u32;
+    out[at..at + 4].copy_from_slice(&len.to_be_bytes());
+    Ok(())
 }
 
 async fn read_frame(r: &mut BufReader<OwnedReadHalf>) -> io::Result<Frame> {
@@ -128,7 +132,7 @@
 impl Link {
     /// A link that is not connected yet.
     pub fn new(host: String, addr: SocketAddr) -> Arc<Self> {
-        let (questions, inbox) = mpsc::channel(256);
+        let (questions, inbox) = mpsc::channel(2048);
         Arc::new(Self {
             host,
             addr,
@@ -177,11 +181,11 @@
     ) -> io::Result<()> {
         let (read, mut write) = stream.into_split();
         let mut read = BufReader::new(read);
-        write
-            .write_all(&encode(&Frame::Hello {
-                host: node.host().to_owned(),
-            })?)
-            .await?;
+        let mut out = Vec::new();
+        let hello = Frame::Hello {
+            host: node.host().to_owned(),
+        };
+        encode(&hello, &mut out)?;
         let pending: Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>> = Arc::default();
         let mut next = 0u64;
         let reader = async {
@@ -200,19 +204,31 @@
         };
         let writer = async {
             loop {
-                let ask = tokio::select! {
+                let first = tokio::select! {
                     q = inbox.recv() => match q {
-                        Some((ask, tx)) => {
-                            pending.lock().retain(|_, t| !t.is_closed());
-                            pending.lock().insert(next, tx);
-                            ask
-                        }
+                        Some(q) => Some(q),
                         None => return Ok(()),
                     },
-                    () = sleep(PING) => Ask::Ping { term: node.known_term() },
+                    () = sleep(PING) => None,
                 };
-                write.write_all(&encode(&Frame::Ask { id: next, ask })?).await?;
-                next += 1;
+                if first.is_none() {
+                    pending.lock().retain(|_, t| !t.is_closed());
+                    let ask = Ask::Ping {
+                        term: node.known_term(),
+                    };
+                    encode(&Frame::Ask { id: next, ask }, &mut out)?;
+                    next += 1;
+                }
+                // All that is ready goes in one packet.
+                let mut question = first;
+                while let Some((ask, tx)) = question {
+                    pending.lock().insert(next, tx);
+                    encode(&Frame::Ask { id: next, ask }, &mut out)?;
+                    next += 1;
+                    question = inbox.try_recv().ok().filter(|_| out.len() < MOST_BATCH);
+                }
+                write.write_all(&out).await?;
+                out.clear();
             }
         };
         tokio::select! {
@@ -250,7 +266,7 @@
     else {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "no greeting"));
     };
-    let (tx, mut rx) = mpsc::channel::<Frame>(256);
+    let (tx, mut rx) = mpsc::channel::<Frame>(2048);
     let reader = async {
         loop {
             let frame = timeout(SILENCE, read_frame(&mut read))
@@ -268,6 +284,16 @@
                 });
                 continue;
             }
+            if let Ask::Report(body) = ask {
+                // Answered on the spot; most questions are of this kind.
+                let reply = node.answer_report(&host, &body);
+                let _ = tx.try_send(Frame::Answer {
+                    id,
+                    term: node.known_term(),
+                    reply,
+                });
+                continue;
+            }
             let (node, tx, host) = (node.clone(), tx.clone(), host.clone());
             tokio::spawn(async move {
                 let reply = node.answer_peer(&host, ask).await;
@@ -280,8 +306,15 @@
         }
     };
     let writer = async {
+        // All that is ready goes in one packet.
+        let mut out = Vec::new();
         while let Some(frame) = rx.recv().await {
-            write.write_all(&encode(&frame)?).await?;
+            encode(&frame, &mut out)?;
+            while let Some(more) = rx.try_recv().ok().filter(|_| out.len() < MOST_BATCH) {
+                encode(&more, &mut out)?;
+            }
+            write.write_all(&out).await?;
+            out.clear();
         }
         Ok(())
     };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -279,6 +279,9 @@
             if o.share.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
                 return bad(&format!("cluster.objectives[{i}].share"), "must lie in 0 to 1");
             }
+            if o.times.is_some_and(|t| !t.is_finite() || t < 0.0) {
+                return bad(&format!("cluster.objectives[{i}].times"), "must be 0 or more");
+            }
             if o.within_s.is_some_and(|s| !s.is_finite() || s < 0.0) {
                 return bad(&format!("cluster.objectives[{i}].within_s"), "must be 0 or more");
             }
@@ -297,7 +300,8 @@
     /// `fleet.idle_s`: an idle machine beyond the warm room is returned after this.
     pub idle: Duration,
     /// `fleet.silent_s`: a machine silent this long is released for its tasks' sake.
-    pub silent: Duration,
+    /// Unset: derived from the workers' report interval.
+    pub silent: Option<Duration>,
     /// `fleet.most`: most machines rented at once.
     pub most_machines: usize,
     /// `fleet.warm`: free room kept, as a share of the CPUs in use.
@@ -312,8 +316,8 @@
             hold: Duration::from_millis(3000),
             plan_pause: Duration::from_millis(50),
             idle: Duration::from_secs(90),
-            silent: Duration::from_secs(9),
-            most_machines: 1000,
+            silent: None,
+            most_machines: 5000,
             warm: 0.15,
             forward: Duration::from_millis(350),
         }
@@ -351,7 +355,7 @@
                 "leader.hold_ms" => t.hold = Duration::from_secs_f64(number(500.0, 60_000.0)? / 1e3),
                 "plan.pause_ms" => t.plan_pause = Duration::from_secs_f64(number(1.0, 5_000.0)? / 1e3),
                 "fleet.idle_s" => t.idle = Duration::from_secs_f64(number(0.0, 86_400.0)?),
-                "fleet.silent_s" => t.silent = Duration::from_secs_f64(number(1.0, 600.0)?),
+                "fleet.silent_s" => t.silent = Some(Duration::from_secs_f64(number(1.0, 600.0)?)),
                 "fleet.most" => t.most_machines = number(1.0, 100_000.0)? as usize,
                 "fleet.warm" => t.warm = number(0.0, 10.0)?,
                 "users.forward_ms" => t.forward = Duration::from_secs_f64(number(10.0, 5_000.0)? / 1e3),
--- /dev/null
+++ b/tests/log.rs
@@ -0,0 +1,213 @@
+//! The write-ahead log under generated crashes and lost answers: its replay
+//! names all that may be on a machine, and its size stays bounded.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bitternfold::core::wal::{Append, Entry, Log};
+use bitternfold::wire::{JobId, MachineId, TaskId};
+use proptest::prelude::*;
+use serde_json::Value;
+
+const VALUE: usize = 1024;
+
+#[derive(Debug, Clone)]
+enum Op {
+    /// Tasks of a job are placed on a machine.
+    Start(u8, u8, u8),
+    /// The first task on a machine ends, done or not.
+    End(u8, bool),
+    /// A machine is gone.
+    Gone(u8),
+    /// All of a job is over.
+    Over(u8),
+    /// An append is sent; it is stored (and answered or not), or never is.
+    Send { stored: bool, answered: bool },
+    /// A new leader reads what is stored.
+    Elect,
+}
+
+fn any_op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        6 => (any::<u8>(), any::<u8>(), 1..8u8).prop_map(|(m, j, n)| Op::Start(m, j, n)),
+        6 => (any::<u8>(), any::<bool>()).prop_map(|(m, d)| Op::End(m, d)),
+        1 => any::<u8>().prop_map(Op::Gone),
+        1 => any::<u8>().prop_map(Op::Over),
+        6 => any::<(bool, bool)>().prop_map(|(stored, answered)| Op::Send { stored, answered }),
+        1 => Just(Op::Elect),
+    ]
+}
+
+fn machine(m: u64) -> MachineId {
+    format!("i-{m:06}").as_str().into()
+}
+
+fn job(j: u64) -> JobId {
+    format!("job-{j:06}").parse().expect("an id")
+}
+
+/// What is true, and what a leader may rely on.
+#[derive(Default)]
+struct World {
+    stored: BTreeMap<u64, Value>,
+    /// Slots by machine, with their attempts and marks.
+    slots: BTreeMap<MachineId, BTreeMap<TaskId, (u64, u64)>>,
+    done: BTreeMap<TaskId, u64>,
+    open: BTreeSet<JobId>,
+    next: u64,
+    generation: u64,
+}
+
+impl World {
+    fn apply(&mut self, a: &Append) {
+        for (n, v) in &a.segments {
+            match v {
+                Some(v) => {
+                    assert!(v.to_string().len() <= VALUE, "a segment fits a value");
+                    self.stored.insert(*n, v.clone());
+                }
+                None => drop(self.stored.remove(n)),
+            }
+        }
+    }
+
+    fn take(&self, log: &mut Log) -> Option<Append> {
+        let live_bytes = self.slots.len() * 60 + self.slots.values().map(BTreeMap::len).sum::<usize>() * 50;
+        log.take(6, live_bytes + self.done.len() * 6, |e| match e {
+            Entry::Machine(id, ..) => self.slots.contains_key(id).then(|| e.clone()),
+            Entry::Gone(_) => None,
+            Entry::Start(id, job, attempt, tasks) => {
+                let on = self.slots.get(id)?;
+                let live = |i: &u32| {
+                    on.get(&TaskId { job: *job, index: *i })
+                        .is_some_and(|s| s.0 == *attempt)
+                };
+                let left: Vec<u32> = tasks.iter().copied().filter(live).collect();
+                (!left.is_empty()).then(|| Entry::Start(id.clone(), *job, *attempt, left))
+            }
+            Entry::Done(job, _) => self.open.contains(job).then(|| e.clone()),
+        })
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_replay_names_all_that_may_be_there(ops in proptest::collection::vec(any_op(), 50..600)) {
+        let mut w = World::default();
+        let mut log = Log::new(VALUE);
+        let (mut highest, mut most_live) = (0, 0);
+        for op in ops {
+            match op {
+                Op::Start(m, j, n) => {
+                    let id = machine(u64::from(m % 8) + w.generation * 8);
+                    let job = job(u64::from(j % 10));
+                    w.open.insert(job);
+                    w.next += 1;
+                    if !w.slots.contains_key(&id) {
+                        log.push(Entry::Machine(id.clone(), "127.0.0.1:9".into(), "small".into(), "north".into(), false));
+                    }
+                    for i in 0..u32::from(n) {
+                        let task = TaskId { job, index: w.next as u32 * 8 + i };
+                        let mark = log.push(Entry::Start(id.clone(), job, w.next, vec![task.index]));
+                        w.slots.entry(id.clone()).or_default().insert(task, (w.next, mark));
+                    }
+                }
+                Op::End(m, done) => {
+                    let id = machine(u64::from(m % 8) + w.generation * 8);
+                    let first = w.slots.get_mut(&id).and_then(|on| on.pop_first());
+                    if let Some((task, _)) = first.filter(|_| done) {
+                        let mark = log.push(Entry::Done(task.job, vec![task.index]));
+                        w.done.insert(task, mark);
+                    }
+                }
+                Op::Gone(m) => {
+                    let id = machine(u64::from(m % 8) + w.generation * 8);
+                    if w.slots.remove(&id).is_some() {
+                        log.push(Entry::Gone(id));
+                        // Names are never used again.
+                        w.generation += 1;
+                    }
+                }
+                Op::Over(j) => {
+                    let job = job(u64::from(j % 10));
+                    let busy = w.slots.values().flat_map(|on| on.keys()).any(|t| t.job == job);
+                    if !busy && w.open.remove(&job) {
+                        w.done.retain(|t, _| t.job != job);
+                    }
+                }
+                Op::Send { stored, answered } => {
+                    if let Some(a) = w.take(&mut log) {
+                        if stored {
+                            for (n, v) in &a.segments {
+                                if v.is_some() && !w.stored.contains_key(n) {
+                                    prop_assert!(*n > highest, "number {} is used again", n);
+                                    highest = *n;
+                                }
+                            }
+                            w.apply(&a);
+                        }
+                        if stored && answered {
+                            log.appended(&a);
+                            // What it was told to wait for may be relied upon: a
+                            // new leader must find every stored start and outcome.
+                            let mut fresh = Log::new(VALUE);
+                            for (n, v) in &w.stored {
+                                prop_assert!(fresh.load(*n, v.clone()));
+                            }
+                            let r = fresh.replay();
+                            for (id, on) in &w.slots {
+                                for (task, (attempt, mark)) in on {
+                                    if log.is_stored(*mark) {
+                                        let named = r.starts.get(id).and_then(|s| s.get(task));
+                                        prop_assert_eq!(named, Some(attempt), "{} on {}", task, id);
+                                        prop_assert!(r.machines.contains_key(id));
+                                    }
+                                }
+                            }
+                            for (task, mark) in &w.done {
+                                if log.is_stored(*mark) {
+                                    prop_assert!(r.done.get(&task.job).is_some_and(|d| d.contains(&task.index)));
+                                }
+                            }
+                            let live = w.slots.len() * 60
+                                + w.slots.values().map(BTreeMap::len).sum::<usize>() * 50
+                                + w.done.len() * 6;
+                            most_live = most_live.max(live);
+                            // Each append drops one segment at the most, and may
+                            // add some when much is pending.
+                            let bound = 4 + 2 * most_live.div_ceil(VALUE - 256) + 12;
+                            prop_assert!(w.stored.len() <= bound, "{} segments, {} live bytes", w.stored.len(), live);
+                        } else {
+                            // The term ends with the answer unknown.
+                            (log, w) = elect(w);
+                        }
+                    }
+                }
+                Op::Elect => (log, w) = elect(w),
+            }
+        }
+    }
+}
+
+/// A new leader: it knows only what is stored.
+fn elect(mut w: World) -> (Log, World) {
+    let mut log = Log::new(VALUE);
+    for (n, v) in &w.stored {
+        assert!(log.load(*n, v.clone()));
+    }
+    let r = log.replay();
+    w.slots = r.machines.keys().map(|m| (m.clone(), BTreeMap::new())).collect();
+    for (id, on) in r.starts {
+        let slots = on.into_iter().map(|(t, a)| (t, (a, 0))).collect();
+        w.slots.insert(id, slots);
+    }
+    w.done = r
+        .done
+        .into_iter()
+        .filter(|(j, _)| w.open.contains(j))
+        .flat_map(|(j, l)| l.into_iter().map(move |i| (TaskId { job: j, index: i }, 0)))
+        .collect();
+    w.generation += 1;
+    (log, w)
+}
