Followers learn the leader from each other; /up tells whether a controller can help

Ruled out: a slow leader (p95 of accepted submissions 36 ms). Change: the answer to a ping names the latest leader known and its term; one that knows none, or an older one, follows it. /up is 503 only where neither leader, peers nor the state service can be reached.

--- a/src/api.rs
+++ b/src/api.rs
@@ -51,7 +51,14 @@
 
     let up = warp::get()
         .and(warp::path!("up"))
-        .map(|| respond(Reply::json(200, &serde_json::json!({}))));
+        .and(with.clone())
+        .map(|node: Arc<Node>| {
+            respond(if node.of_use() {
+                Reply::json(200, &serde_json::json!({}))
+            } else {
+                Reply::later("cut off from the state service and the other controllers")
+            })
+        });
     let submit = warp::post()
         .and(warp::path!("v2" / "runs"))
         .and(body)
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -74,6 +74,7 @@
     node.term_seen(version);
     node.set_role(Role::Following {
         host: leader.host.clone(),
+        term: version,
     });
     node.known_types().await;
     let mut since = version;
--- a/src/node.rs
+++ b/src/node.rs
@@ -32,6 +32,8 @@
     Following {
         /// Its name.
         host: String,
+        /// Its term.
+        term: u64,
     },
     /// This one.
     Leading(Arc<Reign>),
@@ -205,6 +207,39 @@
         }
     }
 
+    /// The latest leader known here, and its term.
+    pub fn known_leader(&self) -> Option<(u64, String)> {
+        match self.role() {
+            Role::Unknown => None,
+            Role::Following { host, term } => Some((term, host)),
+            Role::Leading(r) => Some((r.term, self.host().to_owned())),
+        }
+    }
+
+    /// Another controller tells who leads. One that can't read the state
+    /// service itself still finds the leader so.
+    pub fn leader_told(&self, leader: Option<(u64, String)>) {
+        let Some((term, host)) = leader.filter(|(_, h)| h != self.host()) else {
+            return;
+        };
+        let mut role = self.role.lock();
+        let newer = match &*role {
+            Role::Unknown => true,
+            Role::Following { term: known, .. } => term > *known,
+            Role::Leading(_) => false,
+        };
+        if newer && term >= self.known_term() {
+            info!(leader = host, term, "following, by another's word");
+            *role = Role::Following { host, term };
+        }
+    }
+
+    /// Whether this controller can be of use to a user: it leads, or another
+    /// can be asked, or the state service can.
+    pub fn of_use(&self) -> bool {
+        self.reign().is_some() || self.links.iter().any(|l| l.alive()) || self.store.reachable()
+    }
+
     /// The reign, if this one leads and may act now.
     fn reign(&self) -> Option<Arc<Reign>> {
         match self.role() {
@@ -237,7 +272,7 @@
     }
 
     async fn ask_leader(&self, ask: Ask, patience: Duration) -> Option<Reply> {
-        let Role::Following { host } = self.role() else {
+        let Role::Following { host, .. } = self.role() else {
             return None;
         };
         let link = self.links.iter().find(|l| l.host == host)?;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -91,9 +91,23 @@
 
 #[derive(Debug, BorshSerialize, BorshDeserialize)]
 enum Frame {
-    Hello { host: String },
-    Ask { id: u64, ask: Ask },
-    Answer { id: u64, term: u64, reply: Reply },
+    Hello {
+        host: String,
+    },
+    Ask {
+        id: u64,
+        ask: Ask,
+    },
+    Answer {
+        id: u64,
+        term: u64,
+        reply: Reply,
+    },
+    /// I am here; the highest term that I know of, and the latest leader.
+    Pong {
+        term: u64,
+        leader: Option<(u64, String)>,
+    },
 }
 
 /// Appends a frame to what is to be sent.
@@ -194,11 +208,18 @@
                     .await
                     .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
                 *self.heard.lock() = Some(Instant::now());
-                if let Frame::Answer { id, term, reply } = frame {
-                    node.term_seen(term);
-                    if let Some(tx) = pending.lock().remove(&id) {
-                        let _ = tx.send(reply);
+                match frame {
+                    Frame::Answer { id, term, reply } => {
+                        node.term_seen(term);
+                        if let Some(tx) = pending.lock().remove(&id) {
+                            let _ = tx.send(reply);
+                        }
                     }
+                    Frame::Pong { term, leader } => {
+                        node.term_seen(term);
+                        node.leader_told(leader);
+                    }
+                    Frame::Hello { .. } | Frame::Ask { .. } => {}
                 }
             }
         };
@@ -276,12 +297,8 @@
             let Frame::Ask { id, ask } = frame else { continue };
             if let Ask::Ping { term } = ask {
                 node.term_seen(term);
-                let reply = Reply::not_leading();
-                let _ = tx.try_send(Frame::Answer {
-                    id,
-                    term: node.known_term(),
-                    reply,
-                });
+                let (term, leader) = (node.known_term(), node.known_leader());
+                let _ = tx.try_send(Frame::Pong { term, leader });
                 continue;
             }
             if let Ask::Report(body) = ask {
--- a/src/store.rs
+++ b/src/store.rs
@@ -85,8 +85,13 @@
     addr: String,
     requests: Pace,
     writes: Pace,
+    /// Since when it fails to answer.
+    failing: Mutex<Option<Instant>>,
 }
 
+/// The state service counts as out of reach after failing for so long.
+const UNREACHABLE: Duration = Duration::from_secs(4);
+
 /// How long an ordinary request may take.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
@@ -119,6 +124,21 @@
             addr,
             requests: Pace::new(rps, rps),
             writes: Pace::new(write_rps, write_rps),
+            failing: Mutex::new(None),
+        }
+    }
+
+    /// Whether it answered of late, or hasn't been failing for long.
+    pub fn reachable(&self) -> bool {
+        self.failing.lock().is_none_or(|t| t.elapsed() < UNREACHABLE)
+    }
+
+    fn note(&self, answered: bool) {
+        let mut failing = self.failing.lock();
+        if answered {
+            *failing = None;
+        } else {
+            failing.get_or_insert_with(Instant::now);
         }
     }
 
@@ -129,7 +149,9 @@
         body: Option<Vec<u8>>,
         timeout: Duration,
     ) -> Result<Response, StoreError> {
-        Ok(self.http.call(method, &self.addr, path, body, timeout).await?)
+        let r = self.http.call(method, &self.addr, path, body, timeout).await;
+        self.note(r.as_ref().is_ok_and(|r| r.status != 503));
+        Ok(r?)
     }
 
     /// Reads a key. `Err(revision)` inside: it does not exist at that revision.
