A zone that is cut off is kept, its leases settle its tasks; tasks leave noticed machines

Cause, notices: tasks stayed on noticed machines until these were taken, then began anew. Change: most machines of a zone silent for longer than a report's interval is a cut; they are kept for a lease and 48 s. A machine that obeys this term and was answered longer ago than its lease lasts holds nothing; words of that session count no more. A task that can't end before the notice is up, by 1.5 times, is stopped at once if there is room elsewhere.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -72,6 +72,8 @@
         if self.types.is_empty() {
             return Vec::new();
         }
+        self.clear_lapsed(now);
+        self.leave_noticed(now);
         let mut wishes = Vec::new();
         let release = self.to_release(now);
         if !release.is_empty() {
@@ -114,6 +116,48 @@
         wishes
     }
 
+    /// Tasks on machines that the cloud takes back before they are predicted to
+    /// end go elsewhere now, as far as there is room: every second they stay
+    /// is lost.
+    fn leave_noticed(&mut self, now: Instant) {
+        if self.machines.values().all(|m| m.recall.is_none()) {
+            return;
+        }
+        let (mut free, _) = self.room(now);
+        let waiting = self
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled)
+            .map(|j| f64::from(j.waiting.count()) * j.spec.cpus);
+        free -= waiting.sum::<f64>();
+        let mut leave = Vec::new();
+        for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
+            let Some(recall) = m.recall else { continue };
+            for (task, s) in &m.slots {
+                let Some(spec) = s.spec.as_ref().filter(|_| s.stop.is_none()) else {
+                    continue;
+                };
+                if !matches!(s.state, SlotState::Running | SlotState::Fetching) || free < spec.cpus {
+                    continue;
+                }
+                let end = self.predicted_end(s, now);
+                // Predictions are often wrong by half.
+                if end.saturating_duration_since(now) > recall.saturating_duration_since(now).mul_f64(1.5) {
+                    free -= spec.cpus;
+                    let saves = spec.checkpoint_s > 0.0;
+                    let grace = if saves { spec.save_s } else { 0.0 };
+                    leave.push((m.id.clone(), *task, Duration::from_secs_f64(grace)));
+                }
+            }
+        }
+        if !leave.is_empty() {
+            info!(tasks = leave.len(), "leaving machines that are taken back");
+        }
+        for (machine, task, grace) in leave {
+            self.stop(&machine, task, grace, now, "spot notice");
+        }
+    }
+
     /// The cloud answered a rental with machines.
     pub fn rental_done(&mut self, r: &Rental, machines: &[MachineId], now: Instant) {
         self.fleet.pending.remove(&r.request);
@@ -160,18 +204,19 @@
         self.types.iter().position(|t| t.name == m.machine_type)
     }
 
-    /// Zones most of whose machines are silent: cut off, it seems.
+    /// Zones most of whose machines are silent for longer than their reports
+    /// are apart: cut off, it seems.
     fn silent_zones(&self, now: Instant) -> BTreeSet<String> {
         let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             let z = zones.entry(&m.zone).or_default();
             z.0 += 1;
             let last = m.heard.unwrap_or(m.since);
-            z.1 += usize::from(now.saturating_duration_since(last) > self.config.silent);
+            z.1 += usize::from(now.saturating_duration_since(last) > self.config.report);
         }
         zones
             .into_iter()
-            .filter(|(_, (all, silent))| *silent > 2 && silent * 2 > *all)
+            .filter(|(_, (all, silent))| *silent > 2 && silent * 5 > all * 3)
             .map(|(z, _)| z.to_owned())
             .collect()
     }
@@ -187,6 +232,17 @@
         let silent_count = up.iter().filter(|m| silent(m)).count();
         // Most of them silent at once: it is we who don't hear.
         let deaf = silent_count > 2 && silent_count * 2 > up.len();
+        let zones = self.silent_zones(now);
+        // A zone that is cut off comes back, as a rule sooner than machines
+        // could be rented anew, and with its images. What the lease settles
+        // needs no release.
+        let long = silent_after + self.config.lease + Duration::from_secs(30);
+        let waits = |m: &Machine| {
+            let last = m.heard.unwrap_or(m.since);
+            zones.contains(&m.zone)
+                && now.saturating_duration_since(last) < long
+                && (m.fenced(self.term) || m.slots.is_empty())
+        };
         let cut = self.cut_from_workers(now);
         let takes_none = |m: &Machine| self.is_deaf(m, now, silent_after * 2);
         let mut idle: Vec<&Machine> = Vec::new();
@@ -205,6 +261,7 @@
                         "silent since it was found"
                     }
                 }
+                Phase::Up if silent(m) && waits(m) => continue,
                 Phase::Up if silent(m) && !deaf => "silent",
                 Phase::Up if !cut && takes_none(m) => "takes no commands",
                 Phase::Up if m.cordoned && m.empty() => "failed or faulty",
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -374,6 +374,8 @@
     pub token_seq: u64,
     /// Last message of the worker.
     pub heard: Option<Instant>,
+    /// Its last report was answered then: its lease runs from there at the latest.
+    pub replied: Option<Instant>,
     /// When the cloud takes it.
     pub recall: Option<Instant>,
     /// What is or may be on it.
@@ -418,6 +420,7 @@
             seen_token: 0,
             token_seq: 0,
             heard: None,
+            replied: None,
             recall: None,
             slots: BTreeMap::new(),
             images: Vec::new(),
@@ -455,6 +458,11 @@
                 .any(|s| s.stop.is_some() || matches!(s.state, SlotState::Placed | SlotState::Ended(_)))
     }
 
+    /// Whether a session is over by its lease, see [`Model::clear_lapsed`].
+    pub fn session_over(&self, session: u64) -> bool {
+        self.newest == (session, u64::MAX)
+    }
+
     /// Whether the worker obeys this term.
     pub fn fenced(&self, term: u64) -> bool {
         self.seen_token >> TOKEN_BITS == term
@@ -872,6 +880,34 @@
         }
     }
 
+    /// Whether a machine's lease has run out for certain: it obeys this term,
+    /// so that no other's answers renew its lease, and the last answer of this
+    /// one was sent longer ago than the lease lasts by the slowest clock.
+    fn lapsed(&self, m: &Machine, now: Instant) -> bool {
+        let lease = self.config.lease + self.config.lease / 500 + Duration::from_secs(1);
+        let last = m.replied.max(m.heard);
+        m.phase == Phase::Up
+            && m.fenced(self.term)
+            && last.is_some_and(|t| now.saturating_duration_since(t) > lease)
+    }
+
+    /// Clears machines whose lease has run out: their workers have killed and
+    /// forgotten all they held. From then on nothing of that session counts.
+    pub fn clear_lapsed(&mut self, now: Instant) {
+        let ids: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| !m.slots.is_empty() && self.lapsed(m, now))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ids {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.newest.1 = u64::MAX;
+            }
+            self.clear_machine(&id, now, "its lease has run out");
+        }
+    }
+
     /// Takes in a message of a worker: a report, or the answer to a command.
     pub fn heard(&mut self, r: &Report, now: Instant) -> Heard {
         if self.gone.contains(&r.machine) {
@@ -1100,13 +1136,14 @@
     /// response runs ahead of a command that is still on its way; where it has
     /// none, or where outcomes are to be forgotten and no command is on its
     /// way, a fresh one that no command carries. `None`: a later leader has spoken.
-    pub fn reply(&mut self, machine: &MachineId, reported: u64) -> Option<(u64, Vec<Command>)> {
+    pub fn reply(&mut self, machine: &MachineId, reported: u64, now: Instant) -> Option<(u64, Vec<Command>)> {
         if reported >> TOKEN_BITS > self.term {
             return None;
         }
         let term = self.term;
         let (log, jobs) = (&self.log, &self.jobs);
         let m = self.machines.get_mut(machine)?;
+        m.replied = Some(now);
         if !m.fenced(term) {
             return Some((m.fresh_token(term), Vec::new()));
         }
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -281,7 +281,7 @@
     }
 
     /// When a slot is predicted to be free.
-    fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
+    pub(super) fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
         let Some(spec) = &slot.spec else {
             return now + Duration::from_secs(1);
         };
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -701,12 +701,12 @@
                 Heard::Gone => return Reply::later("this machine was returned"),
                 // A command's answer has overtaken it, or it is a late copy,
                 // whose answer reaches nobody.
-                Heard::Old if known.is_none_or(|m| m.newest.0 != r.session) => {
+                Heard::Old if known.is_none_or(|m| m.newest.0 != r.session || m.session_over(r.session)) => {
                     return Reply::later("an older report")
                 }
                 Heard::Old | Heard::Taken => {}
             }
-            (heard, m.reply(&r.machine, r.token))
+            (heard, m.reply(&r.machine, r.token, now))
         };
         if heard == Heard::Taken {
             self.kick.notify_one();
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,208 @@
+//! What the fleet does with machines that are silent, cut off, noticed or deaf.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bitternfold::core::fleet::Wish;
+use bitternfold::core::model::{Config, Heard, Phase};
+use bitternfold::core::Model;
+use bitternfold::settings::{Platform, Tuning};
+use bitternfold::wire::*;
+use support::*;
+
+fn released(m: &mut Model, now: Instant) -> Vec<String> {
+    m.fleet(now)
+        .into_iter()
+        .filter_map(|w| match w {
+            Wish::Release(ids) => Some(ids),
+            Wish::Rent(_) => None,
+        })
+        .flatten()
+        .map(|id| id.to_string())
+        .collect()
+}
+
+/// So many machines in each zone, each with a task of its own.
+fn cluster(per_zone: usize, now: Instant) -> Model {
+    let mut m = model(7);
+    m.add_job(record(job(1, 2 * per_zone as u32, 8.0)), now);
+    for zone in ["north", "south"] {
+        for i in 0..per_zone {
+            m.heard(&report(&format!("i-{zone}-{i}"), "small", zone, false, 7, 1), now);
+        }
+    }
+    m.plan(now);
+    let w = m.take_writes(now);
+    w.iter().for_each(|w| m.written(w, true, now));
+    for (id, _, c) in m.commands(now, 0) {
+        let mut r = report(&id, "small", &m.machines[&id].zone.clone(), false, 7, 2);
+        r.token = c.token;
+        r.tasks = running(&m, &id);
+        m.commanded(&id, Some(&r), now);
+    }
+    m
+}
+
+fn running(m: &Model, id: &MachineId) -> Vec<ReportedTask> {
+    m.machines[id]
+        .slots
+        .iter()
+        .map(|(t, s)| ReportedTask {
+            task: *t,
+            attempt: s.attempt,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        })
+        .collect()
+}
+
+/// Each machine of a zone reports what it holds, and is answered.
+fn speak(m: &mut Model, zone: &str, seq: u64, now: Instant) {
+    let ids: Vec<MachineId> = m
+        .machines
+        .keys()
+        .filter(|id| id.contains(zone))
+        .cloned()
+        .collect();
+    for id in ids {
+        let mut r = report(&id, "small", zone, false, 7, seq);
+        r.token = m.machines[&id].seen_token;
+        r.tasks = running(m, &id);
+        m.heard(&r, now);
+        m.reply(&id, r.token, now);
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_kept_and_its_leases_settle_its_tasks() {
+    // To release a third of the machines for a cut of a minute would cost them
+    // a boot and their images.
+    let now = start();
+    let mut m = cluster(5, now);
+    speak(&mut m, "north", 10, now);
+    speak(&mut m, "south", 10, now);
+    for s in 1..=20 {
+        speak(&mut m, "north", 10 + s, now + secs(s));
+        assert_eq!(released(&mut m, now + secs(s)), Vec::<String>::new(), "{s} s");
+        assert!(m.machines.values().all(|x| x.slots.len() == 1), "{s} s");
+    }
+    // The lease is 20 s: not sooner, and with a margin, their tasks are gone.
+    speak(&mut m, "north", 40, now + secs(22));
+    assert_eq!(released(&mut m, now + secs(22)), Vec::<String>::new());
+    let cut = |m: &Model| {
+        m.machines
+            .values()
+            .filter(|x| x.zone == "south" && x.slots.is_empty())
+            .count()
+    };
+    assert_eq!(cut(&m), 5);
+    assert_eq!(m.jobs.values().next().expect("the job").waiting.count(), 5);
+    // Words of the session that is over come late and change nothing.
+    let id = MachineId::from("i-south-0");
+    let mut late = report(&id, "small", "south", false, 7, 30);
+    late.token = m.machines[&id].seen_token;
+    assert_eq!(m.heard(&late, now + secs(23)), Heard::Old);
+    assert!(m.machines[&id].session_over(1));
+    late.session = 2;
+    late.seq = 1;
+    assert_eq!(m.heard(&late, now + secs(24)), Heard::Taken);
+    // One that is still silent long after is given up.
+    speak(&mut m, "north", 50, now + secs(75));
+    let gone = released(&mut m, now + secs(75));
+    let expected: Vec<String> = (1..5).map(|i| format!("i-south-{i}")).collect();
+    assert_eq!(gone, expected, "the one that spoke meanwhile is not");
+}
+
+#[test]
+fn a_single_silent_machine_is_released_for_its_tasks_sake() {
+    let now = start();
+    let mut m = cluster(5, now);
+    let odd = MachineId::from("i-north-3");
+    for s in 1..=9 {
+        speak(&mut m, "north", 10 + s, now + secs(s));
+        speak(&mut m, "south", 10 + s, now + secs(s));
+        let x = m.machines.get_mut(&odd).expect("known");
+        x.heard = Some(now);
+    }
+    assert_eq!(released(&mut m, now + secs(9)), Vec::<String>::new());
+    m.machines.get_mut(&odd).expect("known").heard = Some(now - secs(1));
+    assert_eq!(released(&mut m, now + secs(9)), ["i-north-3"]);
+}
+
+#[test]
+fn no_healthy_machine_is_released_for_its_ordinary_interval() {
+    // Reports come every report_s, give or take a quarter, and two of them may
+    // be late; a fixed threshold was right for one interval only.
+    for report_s in [1.0, 3.0, 8.0, 12.0] {
+        let text = SETTINGS
+            .replace("report_s = 3.0", &format!("report_s = {report_s:.1}"))
+            .replace("lease_s = 20.0", "lease_s = 34.0");
+        let p = Platform::parse(&text, "test").expect("settings");
+        let c = Config::new(&p, Tuning::default());
+        let longest = Duration::from_secs_f64(report_s * 1.25);
+        assert!(c.silent > longest + Duration::from_secs(2), "{report_s}");
+        assert!(c.silent <= c.lease);
+        let mut m = Model::new(Arc::new(c), 7);
+        m.types = types();
+        let now = start();
+        for i in 0..4 {
+            m.heard(&report(&format!("i-{i}"), "small", "north", true, 7, 1), now);
+        }
+        // They are warm room for a job that needs them soon.
+        m.add_job(record(job(1, 40, 8.0)), now);
+        assert_eq!(released(&mut m, now + longest * 3 / 2), Vec::<String>::new());
+    }
+}
+
+#[test]
+fn tasks_leave_a_machine_that_is_taken_back_if_they_cannot_end_in_time() {
+    let now = start();
+    let mut m = cluster(2, now);
+    let id = MachineId::from("i-north-0");
+    let noticed = |m: &mut Model, seq: u64, recall: f64, now: Instant| {
+        let mut r = report(&id, "small", "north", false, 7, seq);
+        r.token = m.machines[&id].seen_token;
+        r.tasks = running(m, &id);
+        r.notice_s = Some(recall);
+        m.heard(&r, now);
+        m.fleet(now);
+        m.machines[&id].slots.values().any(|s| s.stop.is_some())
+    };
+    // No room elsewhere: it may still end in time.
+    assert!(!noticed(&mut m, 10, 15.0, now + secs(1)));
+    m.heard(&report("i-spare", "small", "north", false, 7, 1), now + secs(1));
+    // Predicted to run 60 s: 50 s may do, 15 s will not.
+    assert!(!noticed(&mut m, 11, 50.0, now + secs(1)));
+    assert!(noticed(&mut m, 12, 15.0, now + secs(1)));
+}
+
+#[test]
+fn a_machine_that_hears_nothing_gets_no_starts_and_is_given_up() {
+    // Its reports arrive, so it isn't silent; but no command reaches it, and no
+    // answer, so its lease runs out, its session changes, and so on for ever.
+    let now = start();
+    let mut m = cluster(3, now);
+    let id = MachineId::from("i-south-1");
+    m.machines.get_mut(&id).expect("known").probe = true;
+    m.due.insert(id.clone());
+    let sent = m.commands(now, 5);
+    assert!(sent.iter().any(|(i, ..)| *i == id));
+    m.commanded(&id, None, now);
+    assert!(!m.usable(&m.machines[&id], now + secs(1)));
+    // A later session than its start was sent to: the task is gone.
+    let mut r = report(&id, "small", "south", false, 7, 1);
+    r.session = 2;
+    m.heard(&r, now + secs(12));
+    assert!(m.machines[&id].slots.is_empty());
+    for s in 13..30 {
+        r.seq += 1;
+        m.heard(&r, now + secs(s));
+        speak(&mut m, "north", s * 10, now + secs(s));
+        speak(&mut m, "south", s * 10, now + secs(s));
+    }
+    assert_eq!(released(&mut m, now + secs(29)), ["i-south-1"]);
+    assert_eq!(m.machines[&id].phase, Phase::Releasing);
+}
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -279,7 +279,7 @@
             }
             Message::Report(r) => {
                 self.model.heard(&r, self.now);
-                if let Some((token, orders)) = self.model.reply(&r.machine, r.token) {
+                if let Some((token, orders)) = self.model.reply(&r.machine, r.token, self.now) {
                     self.mail.push(Message::Reply {
                         to: r.machine,
                         session: r.session,
@@ -486,14 +486,14 @@
                 let r = self.copies[i % self.copies.len()].clone();
                 // Its answer reaches nobody.
                 self.model.heard(&r, self.now);
-                let _ = self.model.reply(&r.machine, r.token);
+                let _ = self.model.reply(&r.machine, r.token, self.now);
             }
             Op::OldReport(i) => {
                 let w = &mut self.workers[i % n];
                 if let Some(old) = self.old.as_mut().filter(|_| w.alive) {
                     let r = w.report();
                     old.heard(&r, self.now);
-                    if let Some((token, _)) = old.reply(&r.machine, r.token) {
+                    if let Some((token, _)) = old.reply(&r.machine, r.token, self.now) {
                         self.mail.push(Message::Reply {
                             to: r.machine,
                             session: r.session,
@@ -645,16 +645,16 @@
     m.heard(&report("i-1", "small", "north", false, 7, 1), now);
     m.machines.get_mut(&id).expect("known").probe = true;
     let (_, c) = m.command(&id, now).expect("a command");
-    assert!(m.reply(&id, 7 << 20).expect("a token").0 < c.token);
+    assert!(m.reply(&id, 7 << 20, now).expect("a token").0 < c.token);
     m.machines.get_mut(&id).expect("known").seen_token = 3 << 20;
-    let (fresh, orders) = m.reply(&id, 3 << 20).expect("a token");
+    let (fresh, orders) = m.reply(&id, 3 << 20, now).expect("a token");
     assert!(
         fresh > c.token,
         "a worker of an earlier term gets one that no command carries"
     );
     assert!(orders.is_empty());
     assert_eq!(
-        m.reply(&id, 8 << 20),
+        m.reply(&id, 8 << 20, now),
         None,
         "a later leader has spoken: no answer"
     );
@@ -690,10 +690,10 @@
         .collect();
     m.commanded(&id, Some(&r), now);
     let w = m.take_writes(now + secs(1));
-    let (_, orders) = m.reply(&id, r.token).expect("an answer");
+    let (_, orders) = m.reply(&id, r.token, now).expect("an answer");
     assert!(orders.is_empty(), "nothing to say yet");
     w.iter().for_each(|w| m.written(w, true, now));
-    let (token, orders) = m.reply(&id, r.token).expect("an answer");
+    let (token, orders) = m.reply(&id, r.token, now).expect("an answer");
     assert!(matches!(orders[..], [Command::Forget { .. }]));
     assert!(
         token > c.token,
