Fleet: warm room shrinks with size; room that falls free within a part of a boot counts

The windows show 15 percent of a fleet of 1,000 idle as warm room, and rentals for waits that end before the machine has booted (boot costs about 10 of 93, the drain after the last job 12, the opening surge the most: it's needed for the deadlines).

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -45,6 +45,8 @@
     memory: f64,
 }
 
+/// Share of a boot within which running tasks are expected to make room.
+const SOON_FREE: f64 = 0.4;
 /// Most machines in one rental, and names in one release, as the cloud takes them.
 const MOST_RENTED: u32 = 50;
 const MOST_RELEASED: usize = 100;
@@ -281,7 +283,7 @@
             return out;
         }
         let (mut free, used) = self.room(now);
-        let keep = used * self.config.tuning.warm;
+        let keep = used * self.warm_share();
         idle.sort_by(|a, b| {
             self.price(b)
                 .total_cmp(&self.price(a))
@@ -338,6 +340,13 @@
         (free, used)
     }
 
+    /// Share of the load that is kept free. The larger the fleet, the less its
+    /// load varies in proportion.
+    fn warm_share(&self) -> f64 {
+        let small = (50.0 / self.machines.len().max(1) as f64).sqrt();
+        self.config.tuning.warm * small.clamp(0.5, 1.0)
+    }
+
     /// Packs what waits onto what there is; the rest is to be rented.
     fn to_rent(&self, now: Instant) -> Vec<(Offer, u32)> {
         let mut bins: Vec<Bin> = Vec::new();
@@ -347,6 +356,9 @@
             per_zone: BTreeMap::new(),
             wanted: BTreeMap::new(),
         };
+        // Room that falls free well before a machine could boot counts as free.
+        let boot = self.types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
+        let soon = Duration::from_secs_f64((boot * SOON_FREE).clamp(0.0, 60.0));
         for m in self.machines.values() {
             *shop.per_zone.entry(m.zone.clone()).or_default() += 1;
             let Some(kind) = self.kind_of(m) else { continue };
@@ -367,6 +379,7 @@
                 .slots
                 .values()
                 .filter(|s| s.takes_room() && s.state != SlotState::Unknown)
+                .filter(|s| self.predicted_end(s, now) > now + soon)
             {
                 if let Some(s) = &s.spec {
                     b.cpus -= s.cpus;
@@ -458,7 +471,7 @@
     fn keep_warm(&self, bins: &[Bin], cpus_waiting: f64, mut total: usize, shop: &mut Shop, now: Instant) {
         let (_, used) = self.room(now);
         let mut free: f64 = bins.iter().map(|b| b.cpus.max(0.0)).sum();
-        let keep = (used + cpus_waiting) * self.config.tuning.warm;
+        let keep = (used + cpus_waiting) * self.warm_share();
         let Some(like) = self
             .jobs
             .values()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -304,7 +304,7 @@
     pub silent: Option<Duration>,
     /// `fleet.most`: most machines rented at once.
     pub most_machines: usize,
-    /// `fleet.warm`: free room kept, as a share of the CPUs in use.
+    /// `fleet.warm`: free room kept, as a share of the CPUs in use; half of it in a large fleet.
     pub warm: f64,
     /// `users.forward_ms`: how long a follower waits for the leader's answer.
     pub forward: Duration,
