Leader: a hold of 2 s

Measured at size: 2.7 s to the election, 0.3 s to read the state, the first start 0.4 s and the hundredth about 1 s after the election. Ruled out: the takeover itself (above). With 40 machines a hold of 2 s was noise before; at size each gap is more starts.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -313,7 +313,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            hold: Duration::from_millis(3000),
+            hold: Duration::from_millis(2000),
             plan_pause: Duration::from_millis(50),
             idle: Duration::from_secs(90),
             silent: None,
