--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -26,6 +26,8 @@
 use crate::wire::{JobId, JobSpec, MachineId, Report, ReportReply};
 use crate::worker::{self, Commanded};
 
+/// Pause between two readings of all unfinished jobs.
+const HEAL_PAUSE: Duration = Duration::from_secs(15);
 /// Machines without other orders that are sent a command in one round, to
 /// learn what is on them: a new leader has to ask them all.
 const PROBES: usize = 24;
@@ -148,6 +150,7 @@
             }
             let mut loops = JoinSet::new();
             loops.spawn(loading.clone().watch_inbox());
+            loops.spawn(loading.clone().heal());
             loops.spawn(loading.clone().see_types());
             loops.spawn(loading.clone().see_machines());
             loops.spawn(loading.clone().rounds());
@@ -246,10 +249,12 @@
                 continue;
             };
             let mut since = revision;
+            let mut all = true;
             for i in items {
-                self.clone().pick_up(&i.key, i.version).await;
+                all &= self.clone().pick_up(&i.key, i.version).await;
             }
-            loop {
+            // What couldn't be picked up is listed again soon.
+            while all {
                 match self
                     .node
                     .store
@@ -260,7 +265,7 @@
                         since = since.max(w.revision);
                         for e in w.events {
                             if let Some(key) = e.put {
-                                self.clone().pick_up(&key, e.version).await;
+                                all &= self.clone().pick_up(&key, e.version).await;
                             }
                         }
                     }
@@ -268,15 +273,43 @@
                     Err(_) => sleep(Duration::from_millis(300)).await,
                 }
             }
+            sleep(Duration::from_millis(300)).await;
         }
     }
 
-    async fn pick_up(self: Arc<Self>, key: &str, version: u64) {
+    /// Reads all unfinished jobs again from time to time: whatever mark, watch
+    /// or answer was lost, no accepted job stays unknown for longer.
+    async fn heal(self: Arc<Self>) {
+        loop {
+            sleep(HEAL_PAUSE).await;
+            let Ok((items, _)) = self.node.store.list(record::JOBS).await else {
+                continue;
+            };
+            for i in items {
+                let known = i
+                    .key
+                    .trim_start_matches(record::JOBS)
+                    .parse::<JobId>()
+                    .is_ok_and(|id| {
+                        self.model.lock().jobs.contains_key(&id) || self.node.finals.lock().view(id).is_some()
+                    });
+                if known {
+                    continue;
+                }
+                if let Ok(r) = serde_json::from_value::<JobRecord>(i.value) {
+                    self.adopt(r, i.version);
+                }
+            }
+        }
+    }
+
+    /// False: it has to be tried again.
+    async fn pick_up(self: Arc<Self>, key: &str, version: u64) -> bool {
         let Ok(id) = key.trim_start_matches(record::INBOX).parse::<JobId>() else {
-            return;
+            return true;
         };
         if !self.ingest(id).await {
-            return;
+            return false;
         }
         self.writer.know(key, version);
         let unit = Unit {
@@ -286,6 +319,7 @@
         tokio::spawn(async move {
             let _ = self.writer.commit(unit).await;
         });
+        true
     }
 
     /// Reads a job that is not known here. False: it could not be read.
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -762,3 +762,51 @@
     }
     assert!(m.cut_from_workers(now + secs(14)));
 }
+
+#[test]
+fn words_older_than_the_fence_make_no_places() {
+    // A new leader may hear late copies first: what they list is not there any
+    // more, and a place made for it would keep its task from starting elsewhere.
+    let now = start();
+    let mut m = model(9);
+    m.add_job(record(job(1, 1, 4.0)), now);
+    let mut late = report("i-1", "small", "north", false, 8, 400);
+    late.tasks = vec![ReportedTask {
+        task: "job-000001/0".parse().expect("a task"),
+        attempt: (8 << 20) + 1,
+        state: TaskState::Running,
+        why: None,
+        saved: None,
+    }];
+    m.heard(&late, now);
+    let id = MachineId::from("i-1");
+    assert!(m.machines[&id].slots.is_empty());
+    assert_eq!(m.jobs.values().next().expect("the job").waiting.count(), 1);
+    // In its own words, after the fence, it counts.
+    late.token = 9 << 20;
+    late.seq += 1;
+    m.heard(&late, now);
+    assert_eq!(m.machines[&id].slots.len(), 1);
+    assert_eq!(m.jobs.values().next().expect("the job").waiting.count(), 0);
+}
+
+#[test]
+fn a_gone_machine_stays_gone_in_the_next_term() {
+    // Late copies of its reports must not bring it back into the fleet.
+    let now = start();
+    let mut m = model(7);
+    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.released(&MachineId::from("i-1"), now);
+    let mut next = model(8);
+    for w in m.take_writes(now) {
+        if let Write::Log(a) = w {
+            for (n, v) in a.segments {
+                assert!(next.log.load(n, v.expect("written")));
+            }
+        }
+    }
+    next.load_log(now);
+    let heard = next.heard(&report("i-1", "small", "north", false, 7, 9), now);
+    assert_eq!(heard, bitternfold::core::model::Heard::Gone);
+    assert!(next.machines.is_empty());
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -38,7 +38,10 @@
         let api: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
         let back: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
         let state = Arc::new(State::default());
-        let state_addr = state.start().await;
+        let mut state_addrs = Vec::new();
+        for i in 0..3 {
+            state_addrs.push(state.start(i).await);
+        }
         let names = (0..3).map(|i| (format!("heron-{i}"), api[i])).collect();
         let cloud = Cloud::new(names, run);
         let cloud_addr = cloud.start().await;
@@ -54,7 +57,7 @@
                     api[i],
                     back[i],
                     rest.replace("127.0.0.1:4", &cloud_addr.to_string())
-                        .replace("127.0.0.1:5", &state_addr.to_string()),
+                        .replace("127.0.0.1:5", &state_addrs[i].to_string()),
                 )
             })
             .collect();
@@ -236,3 +239,70 @@
         assert!(*site.cloud.starts.lock() >= 27);
     });
 }
+
+#[test]
+fn every_accepted_job_stays_known_at_every_controller() {
+    // One controller is refused by the state service alone, the leader is ended
+    // and back at once in the middle of an election, a job's inbox mark is lost:
+    // after all of it every accepted job is answered everywhere, and done.
+    on_loopback(async {
+        let mut site = Site::start(Duration::from_millis(500)).await;
+        for n in 0..3 {
+            site.insist("POST", n as usize, "/v2/runs", Some(site.job(n, 4)))
+                .await;
+        }
+        let leader: usize = site
+            .state
+            .leader()
+            .and_then(|h| h.strip_prefix("heron-")?.parse().ok())
+            .expect("a leader");
+        site.state.refuse(leader, true);
+        let began = Instant::now();
+        while site.state.leader().is_none_or(|h| h == format!("heron-{leader}")) {
+            assert!(began.elapsed() < LONG, "nobody else is elected");
+            sleep(Duration::from_millis(50)).await;
+        }
+        // It can't read who leads, yet it serves its users, by the others' word.
+        let (status, _) = site
+            .insist("POST", leader, "/v2/runs", Some(site.job(3, 4)))
+            .await;
+        assert!([200, 201].contains(&status));
+        for n in 0..4 {
+            let (status, v) = site
+                .insist("GET", leader, &format!("/v2/runs/job-{n:06}"), None)
+                .await;
+            assert_eq!(status, 200, "{v}");
+        }
+        // The next leader ends and is back within a fraction of a second, while
+        // its hold ends, too.
+        let next = (0..3)
+            .find(|i| site.state.leader() == Some(format!("heron-{i}")))
+            .expect("a leader");
+        site.kill(next);
+        site.state.end_holds();
+        sleep(Duration::from_millis(100)).await;
+        site.boot(next);
+        site.state.refuse(leader, false);
+        // A job that was accepted, though no mark of it is left.
+        let spec: bitternfold::wire::JobSpec = serde_json::from_value(site.job(7, 2)).expect("a job");
+        let lost = json!({"spec": spec, "at": bitternfold::node::wall_ms()});
+        site.state.plant("jobs/job-000007", lost);
+        let began = Instant::now();
+        // Nobody asks about it: it is found nevertheless.
+        while !site.state.has("final/job-000007") {
+            assert!(began.elapsed() < LONG, "a job without a mark is forgotten");
+            sleep(Duration::from_millis(100)).await;
+        }
+        for n in [0, 1, 2, 3, 7] {
+            for at in 0..3 {
+                let v = site.until(at, &format!("job-{n:06}"), "done").await;
+                assert_eq!(v["name_id"], format!("job-{n:06}"));
+            }
+        }
+        for at in 0..3 {
+            assert_eq!(site.insist("GET", at, "/v2/runs/job-777777", None).await.0, 404);
+        }
+        assert!(began.elapsed() < Duration::from_secs(60), "well within 75 s");
+        assert!(site.cloud.doubles.lock().is_empty());
+    });
+}
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -35,6 +35,8 @@
     log: Vec<(u64, String, Option<Value>)>,
     next_hold: u64,
     down: bool,
+    /// Controllers that alone are refused.
+    refused: std::collections::BTreeSet<usize>,
 }
 
 /// A state service in memory.
@@ -42,8 +44,21 @@
 pub struct State(Mutex<Data>);
 
 impl State {
-    /// Starts it; its address.
-    pub async fn start(self: &Arc<Self>) -> SocketAddr {
+    /// Starts it for one controller; the address that this one is given.
+    pub async fn start(self: &Arc<Self>, who: usize) -> SocketAddr {
+        let s = self.clone();
+        let gate = warp::any()
+            .and_then(move || {
+                let refused = s.0.lock().refused.contains(&who);
+                async move {
+                    if refused {
+                        Err(warp::reject::reject())
+                    } else {
+                        Ok(())
+                    }
+                }
+            })
+            .untuple_one();
         let s = self.clone();
         let with = warp::any().map(move || s.clone());
         let query = warp::query::<HashMap<String, String>>();
@@ -81,7 +96,8 @@
             .and(with)
             .then(|q: HashMap<String, String>, s: Arc<State>| async move { answer(s.watch(&q).await) });
         let routes = list.or(get).or(multi).or(hold).or(touch).or(end).or(watch);
-        serve(routes).await
+        let refusal = |_| async { Ok::<_, warp::Rejection>(answer((503, json!({"error": "trouble"})))) };
+        serve(gate.and(routes).recover(refusal)).await
     }
 
     /// Makes it refuse everything, or serve again with all holds renewed.
@@ -92,6 +108,37 @@
         d.holds.values_mut().for_each(|h| h.1 = now + h.0);
     }
 
+    /// Refuses one controller alone, or serves it again.
+    pub fn refuse(&self, who: usize, refused: bool) {
+        let mut d = self.0.lock();
+        if refused {
+            d.refused.insert(who);
+        } else {
+            d.refused.remove(&who);
+        }
+    }
+
+    /// Writes a key past all controllers.
+    pub fn plant(&self, key: &str, value: Value) {
+        let mut d = self.0.lock();
+        d.revision += 1;
+        let revision = d.revision;
+        d.keys.insert(key.to_owned(), (value, revision, None));
+    }
+
+    /// Whether a key exists.
+    pub fn has(&self, key: &str) -> bool {
+        self.0.lock().keys.contains_key(key)
+    }
+
+    /// The name of the leader, if there is one.
+    pub fn leader(&self) -> Option<String> {
+        let d = self.0.lock();
+        d.keys
+            .get("leader")
+            .and_then(|(v, ..)| Some(v["host"].as_str()?.to_owned()))
+    }
+
     /// Ends every hold: whoever leads is deposed.
     pub fn end_holds(&self) {
         let ids: Vec<u64> = self.0.lock().holds.keys().copied().collect();
