Store: acceptances and cancellations go before the log and leave it a share of the budget

Ruled out: forwarding (the same on the leader), the state service's own time (2 ms). Change: units that a user waits for go first, by themselves; the log and final states leave them 0.3 of a second's changes. Test: a_full_budget_starves_neither_users_nor_the_log.

--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -51,6 +51,7 @@
         Unit {
             changes,
             absent: Vec::new(),
+            urgent: false,
         }
     }
 }
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -315,6 +315,7 @@
         let unit = Unit {
             changes: vec![(key.to_owned(), None)],
             absent: Vec::new(),
+            urgent: false,
         };
         tokio::spawn(async move {
             let _ = self.writer.commit(unit).await;
@@ -377,6 +378,7 @@
                                     .commit(Unit {
                                         changes,
                                         absent: Vec::new(),
+                                        urgent: true,
                                     })
                                     .await;
                             }
@@ -582,6 +584,7 @@
         let unit = Unit {
             changes: vec![(key.clone(), Some(value))],
             absent: vec![key, record::final_key(id)],
+            urgent: true,
         };
         self.writer.commit(unit).await?;
         let s: &JobSpec = &rec.spec;
@@ -676,6 +679,7 @@
             let unit = Unit {
                 changes: vec![(record::job_key(id), Some(value))],
                 absent: Vec::new(),
+                urgent: true,
             };
             if self.writer.commit(unit).await.is_err() {
                 return Reply::later("the cancellation can't be stored now");
--- a/src/store.rs
+++ b/src/store.rs
@@ -69,6 +69,21 @@
         }
     }
 
+    /// Takes units if as many are there and a part of the burst is left for
+    /// what is urgent; else how long to wait before trying again.
+    pub fn take_leaving(&self, units: f64, reserve: f64, now: Instant) -> Duration {
+        let mut s = self.state.lock();
+        let refill = now.saturating_duration_since(s.1).as_secs_f64() * self.rate;
+        *s = ((s.0 + refill).min(self.burst), now);
+        // What is larger than the rest of the burst goes when the budget is full.
+        let need = (units + reserve * self.burst).min(self.burst);
+        if s.0 + 1e-9 >= need {
+            s.0 -= units;
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(((need - s.0) / self.rate).max(0.001))
+    }
+
     /// Takes units once they are due.
     pub async fn pass(&self, units: f64) {
         let wait = self.take(units, Instant::now());
@@ -76,6 +91,17 @@
             tokio::time::sleep(wait).await;
         }
     }
+
+    /// Takes units once they are there beside the reserve.
+    async fn pass_leaving(&self, units: f64, reserve: f64) {
+        loop {
+            let wait = self.take_leaving(units, reserve, Instant::now());
+            if wait.is_zero() {
+                return;
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
 }
 
 /// The client.
@@ -195,11 +221,22 @@
         }
     }
 
-    /// Carries out a transaction; its revision.
+    /// Carries out an urgent transaction; its revision.
     pub async fn transact(&self, t: &Transaction, timeout: Duration) -> Result<u64, StoreError> {
+        self.transact_leaving(t, timeout, 0.0).await
+    }
+
+    /// Carries out a transaction that leaves a share of the budget of changes
+    /// to urgent ones.
+    pub async fn transact_leaving(
+        &self,
+        t: &Transaction,
+        timeout: Duration,
+        reserve: f64,
+    ) -> Result<u64, StoreError> {
         self.requests.pass(1.0).await;
         if !t.changes.is_empty() {
-            self.writes.pass(t.changes.len() as f64).await;
+            self.writes.pass_leaving(t.changes.len() as f64, reserve).await;
         }
         let body = serde_json::to_vec(t).map_err(|_| StoreError::Rejected(0))?;
         let r = self.call(Method::POST, "/multi", Some(body), timeout).await?;
@@ -287,6 +324,8 @@
     pub changes: Vec<(String, Option<Value>)>,
     /// Keys that must not exist, whether they change or not.
     pub absent: Vec<String>,
+    /// A user waits for it: it goes before the log and final states.
+    pub urgent: bool,
 }
 
 impl Unit {
@@ -327,6 +366,8 @@
 
 /// Transactions on their way at once.
 const LANES: usize = 4;
+/// Share of the budget of changes that the log and final states leave to users.
+pub const RESERVE: f64 = 0.3;
 /// Bytes of values in one transaction, below the protocol's 64 KiB.
 const MOST_BYTES: usize = 48 * 1024;
 
@@ -377,7 +418,13 @@
             if s.over {
                 return Err(CommitError::Deposed);
             }
-            s.queue.push_back((unit, reply));
+            // Behind what is as urgent, before what is not.
+            let at = if unit.urgent {
+                s.queue.iter().take_while(|(u, _)| u.urgent).count()
+            } else {
+                s.queue.len()
+            };
+            s.queue.insert(at, (unit, reply));
         }
         self.wake.notify_one();
         answer.await.unwrap_or(Err(CommitError::Deposed))
@@ -406,7 +453,7 @@
         if s.in_flight >= LANES || s.over {
             return None;
         }
-        let mut batch = Vec::new();
+        let mut batch: Vec<(Unit, Reply)> = Vec::new();
         let mut held = HashSet::new();
         let (mut ops, mut guards, mut bytes) = (0, 1, 0);
         let mut at = 0;
@@ -417,7 +464,9 @@
                 .iter()
                 .map(|(k, v)| k.len() + weight(v.as_ref()))
                 .sum();
-            let fits = ops + unit.changes.len() <= self.most
+            // What isn't urgent must not make urgent units wait for the reserve.
+            let fits = (batch.is_empty() || batch[0].0.urgent == unit.urgent)
+                && ops + unit.changes.len() <= self.most
                 && guards + unit.changes.len() + unit.absent.len() <= self.most * 4
                 && (batch.is_empty() || bytes + size <= MOST_BYTES);
             if !fits || unit.names(&s.busy) || unit.names(&held) {
@@ -516,7 +565,9 @@
         let mut uncertain = false;
         while !batch.is_empty() && !self.is_over() {
             let t = self.transaction(&batch);
-            match self.store.transact(&t, Duration::from_millis(1200)).await {
+            let reserve = if batch[0].0.urgent { 0.0 } else { RESERVE };
+            let patience = Duration::from_millis(1200);
+            match self.store.transact_leaving(&t, patience, reserve).await {
                 Ok(revision) => {
                     self.applied(batch, revision);
                     batch = Vec::new();
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -2,8 +2,10 @@
 //! names all that may be on a machine, and its size stays bounded.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use bitternfold::core::wal::{Append, Entry, Log};
+use bitternfold::store::{Pace, RESERVE};
 use bitternfold::wire::{JobId, MachineId, TaskId};
 use proptest::prelude::*;
 use serde_json::Value;
@@ -211,3 +213,47 @@
     w.generation += 1;
     (log, w)
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 100, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The log takes all it is given of the budget of changes; acceptances and
+    /// cancellations, a few a second, still go at once, and the log goes on.
+    #[test]
+    fn a_full_budget_starves_neither_users_nor_the_log(
+        rate in 8u32..80,
+        sizes in proptest::collection::vec(1u32..16, 50..200),
+        users in proptest::collection::vec(0u32..3, 50..200),
+    ) {
+        let rate = f64::from(rate);
+        let pace = Pace::new(rate, rate);
+        let mut now = Instant::now() + Duration::from_secs(10);
+        let (mut taken, mut log) = (0.0, 0.0);
+        let began = now;
+        for (size, n) in sizes.iter().zip(&users) {
+            // The log wants as much as there is, all the time.
+            let size = f64::from(*size).min(rate);
+            let mut tries = 0;
+            loop {
+                let wait = pace.take_leaving(size, RESERVE, now);
+                if wait.is_zero() { break; }
+                tries += 1;
+                prop_assert!(tries < 10, "the log never goes");
+                now += wait;
+            }
+            log += size;
+            taken += size;
+            // Few beside the budget, as users are.
+            if f64::from(*n) <= rate * RESERVE && size <= rate * (1.0 - RESERVE) {
+                for _ in 0..*n {
+                    let wait = pace.take_leaving(1.0, 0.0, now);
+                    prop_assert!(wait.is_zero(), "a user waits {:?} behind the log", wait);
+                    taken += 1.0;
+                }
+            }
+        }
+        let most = rate + rate * now.duration_since(began).as_secs_f64();
+        prop_assert!(taken <= most + 1e-6, "{} taken of {}", taken, most);
+        prop_assert!(log > 0.0);
+    }
+}
