--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -21,8 +21,6 @@
     pub refused: BTreeMap<Offer, Instant>,
     /// Machines asked for and not yet answered.
     pub pending: BTreeMap<String, (Offer, u32)>,
-    /// A release of these is under way.
-    pub releasing: BTreeSet<MachineId>,
 }
 
 /// What the fleet wants of the cloud.
@@ -84,7 +82,6 @@
                 if let Some(m) = self.machines.get_mut(id) {
                     m.phase = Phase::Releasing;
                 }
-                self.fleet.releasing.insert(id.clone());
             }
             wishes.extend(release.chunks(MOST_RELEASED).map(|c| Wish::Release(c.to_vec())));
         }
@@ -190,7 +187,6 @@
     /// A release was confirmed or failed.
     pub fn release_done(&mut self, ids: &[MachineId], ok: bool, now: Instant) {
         for id in ids {
-            self.fleet.releasing.remove(id);
             if ok {
                 self.released(id, now);
             } else if let Some(m) = self.machines.get_mut(id) {
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -228,13 +228,6 @@
         self.spec.kind == Kind::Gang && !self.places.is_empty() && self.waiting.count() > 0
     }
 
-    /// When it is due, if it has a deadline.
-    pub fn due(&self) -> Option<Instant> {
-        self.spec
-            .deadline_s
-            .map(|s| self.arrival + Duration::from_secs_f64(s))
-    }
-
     fn occupy(&mut self, index: u32, machine: &MachineId) {
         let list = self.places.entry(index).or_default();
         if !list.contains(machine) {
--- a/src/core/wal.rs
+++ b/src/core/wal.rs
@@ -182,16 +182,6 @@
         !self.in_flight && !self.pending.is_empty() && (self.urgent || time)
     }
 
-    /// Segments in the state service, as far as is known.
-    pub fn len(&self) -> usize {
-        self.segments.len()
-    }
-
-    /// Whether nothing is stored.
-    pub fn is_empty(&self) -> bool {
-        self.segments.is_empty()
-    }
-
     /// Takes what is pending, at most so many segments. The oldest segment is
     /// compacted with it if the log has grown well past `live_bytes`; `live`
     /// gives what of an entry is still true.
