--- a/tests/service.rs
+++ b/tests/service.rs
@@ -306,3 +306,32 @@
         assert!(site.cloud.doubles.lock().is_empty());
     });
 }
+
+#[test]
+fn what_cannot_be_read_or_was_changed_heals() {
+    // A record that can't be read is not a job nobody submitted: 503, and its
+    // job goes on once it can. A record that another has written meanwhile is
+    // read again, and the job's end is stored all the same.
+    on_loopback(async {
+        let site = Site::start(Duration::from_millis(1500)).await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 3))).await;
+        site.until(0, "job-000001", "running").await;
+        let spec: bitternfold::wire::JobSpec = serde_json::from_value(site.job(1, 3)).expect("a job");
+        let same = json!({"spec": spec, "at": bitternfold::node::wall_ms()});
+        site.state.plant("jobs/job-000001", same);
+        site.state.plant("jobs/job-000008", json!({"spec": "torn"}));
+        for at in 0..3 {
+            let (status, _) = ask("GET", site.api[at], "/v2/runs/job-000008", None).await;
+            assert_eq!(status, 503, "neither known nor unknown");
+        }
+        let spec: bitternfold::wire::JobSpec = serde_json::from_value(site.job(8, 2)).expect("a job");
+        let good = json!({"spec": spec, "at": bitternfold::node::wall_ms()});
+        site.state.plant("jobs/job-000008", good);
+        for job in ["job-000001", "job-000008"] {
+            for at in 0..3 {
+                site.until(at, job, "done").await;
+            }
+        }
+        assert!(site.cloud.doubles.lock().is_empty());
+    });
+}
