Peer: a full batch loses no message

Found on reading: when a batch of frames was full, the next question or answer was taken out of its queue and dropped, to be missed until its asker's patience ended. The length is looked at before the queue. Test: a_full_batch_takes_nothing_out_of_the_queue. No decision changes.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -120,6 +120,16 @@
     Ok(())
 }
 
+/// The next that is ready for a batch of so many bytes. Where the batch is full it
+/// stays in the queue: what is taken out and not sent is lost.
+fn next_for<T>(queue: &mut mpsc::Receiver<T>, bytes: usize) -> Option<T> {
+    if bytes < MOST_BATCH {
+        queue.try_recv().ok()
+    } else {
+        None
+    }
+}
+
 async fn read_frame(r: &mut BufReader<OwnedReadHalf>) -> io::Result<Frame> {
     let len = r.read_u32().await? as usize;
     if len > MOST_FRAME {
@@ -246,7 +256,7 @@
                     pending.lock().insert(next, tx);
                     encode(&Frame::Ask { id: next, ask }, &mut out)?;
                     next += 1;
-                    question = inbox.try_recv().ok().filter(|_| out.len() < MOST_BATCH);
+                    question = next_for(inbox, out.len());
                 }
                 write.write_all(&out).await?;
                 out.clear();
@@ -327,7 +337,7 @@
         let mut out = Vec::new();
         while let Some(frame) = rx.recv().await {
             encode(&frame, &mut out)?;
-            while let Some(more) = rx.try_recv().ok().filter(|_| out.len() < MOST_BATCH) {
+            while let Some(more) = next_for(&mut rx, out.len()) {
                 encode(&more, &mut out)?;
             }
             write.write_all(&out).await?;
@@ -342,3 +352,17 @@
     node.lost_peer(&host);
     end
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_full_batch_takes_nothing_out_of_the_queue() {
+        let (tx, mut rx) = mpsc::channel(4);
+        tx.try_send(1).expect("room");
+        assert_eq!(next_for(&mut rx, MOST_BATCH), None);
+        assert_eq!(next_for(&mut rx, 0), Some(1), "it waits for the next batch");
+        assert_eq!(next_for(&mut rx, 0), None);
+    }
+}
