One piece each for the time to save and for what is due; no needless prediction per placement

JobSpec::grace serves the planner and the fleet; Model::note_due serves reports and rounds; placing like tasks keeps what is left in a queue instead of rebuilding an iterator; the predicted end is worked out only where loads are filled in; finish() returned what nobody asked for. Behaviour as before; tests unchanged.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -144,9 +144,7 @@
                 // Predictions are often wrong by half.
                 if end.saturating_duration_since(now) > recall.saturating_duration_since(now).mul_f64(1.5) {
                     free -= spec.cpus;
-                    let saves = spec.checkpoint_s > 0.0;
-                    let grace = if saves { spec.save_s } else { 0.0 };
-                    leave.push((m.id.clone(), *task, Duration::from_secs_f64(grace)));
+                    leave.push((m.id.clone(), *task, spec.grace()));
                 }
             }
         }
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -197,10 +197,10 @@
         }
     }
 
-    /// Notes that a task is done; true if that is new.
-    fn finish(&mut self, index: u32) -> bool {
+    /// Notes that a task is done.
+    fn finish(&mut self, index: u32) {
         self.waiting.remove(index);
-        self.done.insert(index)
+        self.done.insert(index);
     }
 
     /// Whether some task was ever started, as far as is known.
@@ -992,13 +992,7 @@
                 self.hold_stray(r, t);
             }
         }
-        if self
-            .machines
-            .get(&r.machine)
-            .is_some_and(|m| !m.commanding && m.wants_command())
-        {
-            self.due.insert(r.machine.clone());
-        }
+        self.note_due(&r.machine);
         Heard::Taken
     }
 
@@ -1160,6 +1154,14 @@
         Some((m.fresh_token(term), orders))
     }
 
+    /// Notes that a command may be due for a machine that none is on its way to.
+    fn note_due(&mut self, id: &MachineId) {
+        let due = |m: &Machine| !m.commanding && m.wants_command();
+        if self.machines.get(id).is_some_and(due) {
+            self.due.insert(id.clone());
+        }
+    }
+
     /// Commands that are due, at most so many probes of machines that have
     /// nothing else to do. Tokens are fresh.
     pub fn commands(
@@ -1181,15 +1183,7 @@
                     left -= usize::from(probe && left > 0);
                     out.push((id, addr, c));
                 }
-                None => {
-                    if self
-                        .machines
-                        .get(&id)
-                        .is_some_and(|m| !m.commanding && m.wants_command())
-                    {
-                        self.due.insert(id);
-                    }
-                }
+                None => self.note_due(&id),
             }
         }
         out
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -2,7 +2,7 @@
 //! starts the blocked head at once; then venture backfilling, first by
 //! predicted finish within the reservation, then by priority.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
@@ -542,11 +542,6 @@
             for (task, s) in m.slots.iter().filter(|(_, s)| s.takes_room()) {
                 let Some(spec) = &s.spec else { continue };
                 let rank = self.ranks.get(&task.job).copied();
-                let grace = if spec.checkpoint_s > 0.0 {
-                    Duration::from_secs_f64(spec.save_s)
-                } else {
-                    Duration::ZERO
-                };
                 let stoppable = s.backfilled && s.stop.is_none() && !matches!(s.state, SlotState::Saving);
                 room.load.push(Load {
                     end: if s.stop.is_some() {
@@ -560,7 +555,7 @@
                     shadow: stoppable && rank.is_some_and(|r| r > head),
                     rank,
                     task: *task,
-                    grace,
+                    grace: spec.grace(),
                     started: s.running_since.unwrap_or(s.placed_at),
                 });
             }
@@ -718,15 +713,14 @@
             return Tried::NoRoom;
         }
         good.sort_unstable_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
-        let waiting: Vec<u32> = job.waiting.iter().take(most as usize).collect();
+        let mut left: VecDeque<u32> = job.waiting.iter().take(most as usize).collect();
         let attempt = self.model.new_attempt();
-        let mut left = waiting.into_iter().peekable();
         let mut outcome = Tried::NoRoom;
         'machines: for (_, at) in good {
             // A task that has just ended here is not known to be forgotten yet.
             let mut passed = Vec::new();
             while self.rooms[at].fits(&spec) {
-                let Some(index) = left.next() else { break };
+                let Some(index) = left.pop_front() else { break };
                 let task = TaskId { job: id, index };
                 let m = self.model.machines.get(&self.rooms[at].machine);
                 if m.is_none_or(|m| m.slots.contains_key(&task)) {
@@ -745,13 +739,10 @@
                 };
                 self.take_one(place, backfill, &spec, attempt);
             }
-            left = passed
-                .into_iter()
-                .chain(left)
-                .collect::<Vec<_>>()
-                .into_iter()
-                .peekable();
-            if left.peek().is_none() {
+            for index in passed.into_iter().rev() {
+                left.push_front(index);
+            }
+            if left.is_empty() {
                 outcome = Tried::Placed;
                 break;
             }
@@ -983,11 +974,10 @@
                     .stop(&machine, l.task, l.grace, self.now, "shadow of the head");
             }
         }
-        let end = self.now + self.model.predict(spec);
-        let room = &mut self.rooms[p.at];
-        room.claim(spec);
+        self.rooms[p.at].claim(spec);
         if self.loaded {
-            room.load.push(Load {
+            let end = self.now + self.model.predict(spec);
+            self.rooms[p.at].load.push(Load {
                 end,
                 cpus: spec.cpus,
                 gpus: spec.gpus,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -202,6 +202,12 @@
 pub const MOST_TASKS: u32 = 100_000;
 
 impl JobSpec {
+    /// Time to save that a task is given when it is stopped: none if it never saves.
+    pub fn grace(&self) -> std::time::Duration {
+        let s = if self.checkpoint_s > 0.0 { self.save_s } else { 0.0 };
+        std::time::Duration::from_secs_f64(s)
+    }
+
     /// Checks the values; the error names the field.
     pub fn check(&self) -> Result<(), &'static str> {
         let amounts = [
