Sockets shared out, a connection per command, pauses noticed, floods refused at once

After a pause of its own a leader could send what it had decided before, and take its own deafness for the workers' silence. Questions about unknown jobs queued for the budget of the state service without a bound.

Change: fd_limit is read and shared out (`sockets`); workers get a connection per command, and close after a report where there are many; quiet connections are closed. The right to act is asked when a command's or a cloud request's bytes are handed over. A late timer tells of a pause (`pulse`): no silence and no grace follow from it. What the budget can't take soon is 503 at once; polls, then submissions are put off when the process falls behind. Takeover probes are bounded by free sockets, 64 a round.

Ruled out: memory (113 of 188 MB at the limit), processor time (mean use below 0.2).

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,9 +2,16 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use warp::http::StatusCode;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+use tracing::info;
+use warp::http::{HeaderValue, StatusCode};
 use warp::{Filter, Rejection, Reply as _};
 
 use crate::node::Node;
@@ -13,6 +20,40 @@
 
 type Response = warp::http::Response<Bytes>;
 
+/// Least time after which a connection that says nothing is closed: a machine
+/// without power never closes its own.
+const QUIET: Duration = Duration::from_secs(30);
+
+/// Serves users, workers and health checks for ever. Connections beyond the
+/// share of sockets wait in the listener's queue, where the load balancer and
+/// the workers pass them on to another controller.
+pub async fn serve(listener: TcpListener, node: Arc<Node>) {
+    let service = warp::service(routes(node.clone()));
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new())
+        .header_read_timeout(QUIET.max(node.platform.params.workers.report * 4));
+    loop {
+        let permit = node.sockets.incoming().await;
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                let connection =
+                    http.serve_connection(TokioIo::new(stream), TowerToHyperService::new(service.clone()));
+                tokio::spawn(async move {
+                    // Resets and silence of the other side are ordinary.
+                    let _ = connection.await;
+                    drop(permit);
+                });
+            }
+            Err(e) => {
+                // Of this connection alone, or no socket is left: no spinning.
+                info!(error = %e, "can't accept a connection");
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
 fn respond(reply: Reply) -> Response {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let mut b = warp::http::Response::builder()
@@ -87,7 +128,15 @@
         .and(warp::path!("v1" / "report"))
         .and(body)
         .and(with)
-        .then(|body: Bytes, node: Arc<Node>| async move { respond(node.report(&body).await) });
+        .then(|body: Bytes, node: Arc<Node>| async move {
+            let mut r = respond(node.report(&body).await);
+            if node.sockets.crowded() {
+                // The worker comes back on a new connection; meanwhile its socket serves another.
+                r.headers_mut()
+                    .insert("connection", HeaderValue::from_static("close"));
+            }
+            r
+        });
     up.or(report)
         .unify()
         .or(poll)
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -50,19 +50,25 @@
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
+        go: impl Fn() -> bool,
     ) -> Result<T, CloudError> {
-        let body = self.send(method, path, body).await?;
+        let body = self.send(method, path, body, go).await?;
         serde_json::from_slice(&body).map_err(|_| CloudError::Unanswered)
     }
 
-    /// Sends a request; the body of its 200.
+    /// Sends a request once it is due, if `go` still allows it then; the body of
+    /// its 200.
     async fn send(
         &self,
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
+        go: impl Fn() -> bool,
     ) -> Result<bytes::Bytes, CloudError> {
         self.pace.pass(1.0).await;
+        if !go() {
+            return Err(CloudError::Unavailable);
+        }
         let r = self
             .http
             .call(method, &self.addr, path, body, PATIENCE)
@@ -83,27 +89,28 @@
     /// The machine types on offer.
     pub async fn machine_types(&self) -> Result<Vec<MachineType>, CloudError> {
         Ok(self
-            .call::<MachineTypes>(Method::GET, "/machine_types", None)
+            .call::<MachineTypes>(Method::GET, "/machine_types", None, || true)
             .await?
             .types)
     }
 
-    /// Rents machines.
-    pub async fn rent(&self, rental: &Rental) -> Result<Vec<MachineId>, CloudError> {
+    /// Rents machines, if `go` still allows it when the request is due.
+    pub async fn rent(&self, rental: &Rental, go: impl Fn() -> bool) -> Result<Vec<MachineId>, CloudError> {
         let body = serde_json::to_vec(rental).map_err(|_| CloudError::Rejected(0))?;
         Ok(self
-            .call::<Machines>(Method::POST, "/hosts", Some(body))
+            .call::<Machines>(Method::POST, "/hosts", Some(body), go)
             .await?
             .machines)
     }
 
-    /// Gives machines back; once this returns they are gone.
-    pub async fn release(&self, machines: &[MachineId]) -> Result<(), CloudError> {
+    /// Gives machines back, if `go` still allows it when the request is due; once
+    /// this returns they are gone.
+    pub async fn release(&self, machines: &[MachineId], go: impl Fn() -> bool) -> Result<(), CloudError> {
         let body = serde_json::to_vec(&Machines {
             machines: machines.to_vec(),
         })
         .map_err(|_| CloudError::Rejected(0))?;
-        self.send(Method::POST, "/hosts/release", Some(body))
+        self.send(Method::POST, "/hosts/release", Some(body), go)
             .await
             .map(drop)
     }
@@ -114,7 +121,7 @@
         loop {
             let since = all.last().map(|m| format!("since={}&", m.id)).unwrap_or_default();
             let page: MachineList = self
-                .call(Method::GET, &format!("/hosts?{since}limit=500"), None)
+                .call(Method::GET, &format!("/hosts?{since}limit=500"), None, || true)
                 .await?;
             let end = page.machines.is_empty() || !page.more;
             all.extend(page.machines);
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -208,8 +208,7 @@
         for m in self.machines.values().filter(|m| m.phase == Phase::Up) {
             let z = zones.entry(&m.zone).or_default();
             z.0 += 1;
-            let last = m.heard.unwrap_or(m.since);
-            z.1 += usize::from(now.saturating_duration_since(last) > self.config.report);
+            z.1 += usize::from(self.silence(m, now) > self.config.report);
         }
         zones
             .into_iter()
@@ -222,10 +221,7 @@
         let silent_after = self.config.silent;
         let mut out = Vec::new();
         let up: Vec<&Machine> = self.machines.values().filter(|m| m.phase == Phase::Up).collect();
-        let silent = |m: &Machine| {
-            let last = m.heard.unwrap_or(m.since);
-            now.saturating_duration_since(last) > silent_after
-        };
+        let silent = |m: &Machine| self.silence(m, now) > silent_after;
         let silent_count = up.iter().filter(|m| silent(m)).count();
         // Most of them silent at once: it is we who don't hear.
         let deaf = silent_count > 2 && silent_count * 2 > up.len();
@@ -235,9 +231,8 @@
         // needs no release.
         let long = silent_after + self.config.lease + Duration::from_secs(30);
         let waits = |m: &Machine| {
-            let last = m.heard.unwrap_or(m.since);
             zones.contains(&m.zone)
-                && now.saturating_duration_since(last) < long
+                && self.silence(m, now) < long
                 && (m.fenced(self.term) || m.slots.is_empty())
         };
         let cut = self.cut_from_workers(now);
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -523,6 +523,8 @@
     pub gone: Graves,
     /// Some task may have been started by backfilling.
     pub shadows: bool,
+    /// This process has listened since then without a pause of its own.
+    pub listening: Option<Instant>,
     /// Attempts given out.
     attempts: u64,
     /// Rentals under way and pauses, see [`super::fleet`].
@@ -557,6 +559,7 @@
             ratios_written: None,
             gone: Graves::default(),
             shadows: false,
+            listening: None,
             attempts: 0,
             fleet: super::fleet::FleetState::default(),
         }
@@ -877,6 +880,23 @@
         }
     }
 
+    /// This process stood still until now: what it didn't hear is no silence.
+    pub fn listen_from(&mut self, now: Instant) {
+        self.listening = Some(now);
+    }
+
+    /// How long a machine has been silent while this process listened.
+    pub fn silence(&self, m: &Machine, now: Instant) -> Duration {
+        let last = Some(m.heard.unwrap_or(m.since)).max(self.listening);
+        last.map_or(Duration::ZERO, |t| now.saturating_duration_since(t))
+    }
+
+    /// Whether all machines that were up when this term began obey it.
+    pub fn all_fenced(&self) -> bool {
+        let mut up = self.machines.values().filter(|m| m.phase == Phase::Up);
+        up.all(|m| !m.probe || m.fenced(self.term))
+    }
+
     /// Whether a machine's lease has run out for certain: it obeys this term,
     /// so that no other's answers renew its lease, and the last answer of this
     /// one was sent longer ago than the lease lasts by the slowest clock.
@@ -1295,7 +1315,9 @@
         let within = |t: Instant, d: Duration| now.saturating_duration_since(t) < d;
         m.phase == Phase::Up
             && m.heard.is_some_and(|t| within(t, self.config.report * 2))
-            && m.unanswered.is_some_and(|t| !within(t, long))
+            && m.unanswered
+                .max(self.listening.filter(|_| m.unanswered.is_some()))
+                .is_some_and(|t| !within(t, long))
     }
 
     /// Most machines report by way of others and take no command from here:
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -323,8 +323,8 @@
             && m.full_until.is_none_or(|t| t <= now)
             // It may hang, or hear nothing of what it is told.
             && m.unanswered.is_none()
-            && m.heard
-                .is_some_and(|h| now.saturating_duration_since(h) < self.config.report * 2)
+            && m.heard.is_some()
+            && self.silence(m, now) < self.config.report * 2
     }
 
     /// One scheduling round.
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -17,6 +17,7 @@
 
 use crate::core::record::{LeaderRecord, LEADER};
 use crate::node::{Node, Role};
+use crate::pulse::BEAT;
 use crate::settings::{Platform, Tuning};
 use crate::store::StoreError;
 use crate::wire::{Change, Guard, Item, Transaction};
@@ -41,10 +42,20 @@
     }
     tokio::spawn(crate::peer::listen(back, node.clone()));
     tokio::spawn(campaign(node.clone()));
-    warp::serve(crate::api::routes(node)).incoming(api).run().await;
+    tokio::spawn(beat(node.clone()));
+    crate::api::serve(api, node).await;
     Ok(())
 }
 
+/// Measures how late the process's own timer fires.
+async fn beat(node: Arc<Node>) {
+    loop {
+        sleep(BEAT).await;
+        node.check_pulse();
+        node.pulse.beat(Instant::now());
+    }
+}
+
 fn record_of(item: &Item) -> Option<LeaderRecord> {
     serde_json::from_value(item.value.clone()).ok()
 }
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -1,7 +1,7 @@
 //! One leader's time in office: takeover, rounds, and answers.
 
 use std::collections::hash_map::DefaultHasher;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -28,9 +28,13 @@
 
 /// Pause between two readings of all unfinished jobs.
 const HEAL_PAUSE: Duration = Duration::from_secs(15);
-/// Machines without other orders that are sent a command in one round, to
-/// learn what is on them: a new leader has to ask them all.
-const PROBES: usize = 24;
+/// Machines without other orders that are sent a command in one round at the
+/// most, to learn what is on them: a new leader has to ask them all, and its
+/// touch of the hold must not wait behind them.
+const PROBES: usize = 64;
+
+/// How long a user's change may take to be stored.
+const STORED_WITHIN: Duration = Duration::from_millis(2500);
 
 /// A worker that came back from the controller it was sent to is not sent
 /// there again for so long.
@@ -55,7 +59,12 @@
     /// The right to act ends here.
     right: Mutex<Instant>,
     loaded: AtomicBool,
+    /// The state was loaded then, and not all workers known from it obey yet.
+    load_ended: Mutex<Option<Instant>>,
     over: AtomicBool,
+    /// The process stood still until then, and its hold was not touched since:
+    /// another may lead by now.
+    woke: Mutex<Option<Instant>>,
     ended: Notify,
     kick: Notify,
     sent: Mutex<Sent>,
@@ -74,7 +83,9 @@
             writer,
             right: Mutex::new(sent),
             loaded: AtomicBool::new(false),
+            load_ended: Mutex::new(None),
             over: AtomicBool::new(false),
+            woke: Mutex::new(None),
             ended: Notify::new(),
             kick: Notify::new(),
             sent: Mutex::default(),
@@ -91,6 +102,17 @@
         let sure = life - life / 1000 - Duration::from_millis(50);
         let mut right = self.right.lock();
         *right = (*right).max(sent + sure);
+        let mut woke = self.woke.lock();
+        *woke = woke.filter(|w| sent <= *w);
+    }
+
+    /// The process has stood still. Its right holds by the clock as ever, but
+    /// the time after it, in which reports are still answered, is not used
+    /// before the state service has answered anew: a newer leader's workers
+    /// would be held here. And what it did not hear meanwhile is no silence.
+    pub fn woke(&self, now: Instant) {
+        *self.woke.lock() = Some(now);
+        self.model.lock().listen_from(now);
     }
 
     /// Whether this controller may act as the leader now.
@@ -109,6 +131,7 @@
         let grace = w.cancel.saturating_sub(w.lease + Duration::from_secs(4));
         self.loaded.load(Ordering::Relaxed)
             && !self.over.load(Ordering::Relaxed)
+            && self.woke.lock().is_none()
             && Instant::now() < *self.right.lock() + grace
     }
 
@@ -136,6 +159,7 @@
                     }
                 }
             }
+            *loading.load_ended.lock() = Some(Instant::now());
             loading.loaded.store(true, Ordering::Relaxed);
             loading.node.set_role(Role::Leading(loading.clone()));
             {
@@ -280,6 +304,7 @@
     /// Reads all unfinished jobs again from time to time: whatever mark, watch
     /// or answer was lost, no accepted job stays unknown for longer.
     async fn heal(self: Arc<Self>) {
+        let mut unreadable = HashSet::new();
         loop {
             sleep(HEAL_PAUSE).await;
             let Ok((items, _)) = self.node.store.list(record::JOBS).await else {
@@ -296,8 +321,12 @@
                 if known {
                     continue;
                 }
-                if let Ok(r) = serde_json::from_value::<JobRecord>(i.value) {
-                    self.adopt(r, i.version);
+                match serde_json::from_value::<JobRecord>(i.value) {
+                    Ok(r) => self.adopt(r, i.version),
+                    Err(e) if unreadable.insert((i.key.clone(), i.version)) => {
+                        info!(key = i.key, error = %e, "a job record can't be read; it is tried again");
+                    }
+                    Err(_) => {}
                 }
             }
         }
@@ -410,6 +439,7 @@
     async fn keep_fleet(self: Arc<Self>) {
         loop {
             sleep(Duration::from_millis(1000)).await;
+            self.node.check_pulse();
             if !self.may_act() {
                 continue;
             }
@@ -435,7 +465,7 @@
                     if !self.may_act() {
                         break self.model.lock().rental_failed(&rental, false, Instant::now());
                     }
-                    match cloud.rent(&rental).await {
+                    match cloud.rent(&rental, || self.may_act()).await {
                         Ok(ids) => {
                             info!(request = rental.request, got = ids.len(), "rented");
                             self.model.lock().rental_done(&rental, &ids, Instant::now());
@@ -456,7 +486,7 @@
                 }
             }
             Wish::Release(ids) => {
-                let ok = match cloud.release(&ids).await {
+                let ok = match cloud.release(&ids, || self.may_act()).await {
                     Ok(()) => true,
                     Err(e) => {
                         info!(machines = ids.len(), error = %e, "not released yet");
@@ -472,6 +502,7 @@
     async fn rounds(self: Arc<Self>) {
         loop {
             let _ = timeout(Duration::from_millis(500), self.kick.notified()).await;
+            self.node.check_pulse();
             let began = Instant::now();
             if self.may_act() {
                 self.round();
@@ -490,8 +521,17 @@
         if r != crate::core::plan::Round::default() {
             debug!(?r, "round");
         }
+        let mut load_ended = self.load_ended.lock();
+        if let Some(t) = load_ended.filter(|_| m.all_fenced()) {
+            info!(
+                took_ms = (now - t).as_millis() as u64,
+                "all workers obey this term"
+            );
+            *load_ended = None;
+        }
+        drop(load_ended);
         let writes = m.take_writes(now);
-        let commands = m.commands(now, PROBES);
+        let commands = m.commands(now, PROBES.min(self.node.sockets.commands_free() / 2));
         drop(m);
         for w in writes {
             let reign = self.clone();
@@ -500,11 +540,8 @@
         for (id, addr, c) in commands {
             let reign = self.clone();
             tokio::spawn(async move {
-                let outcome = if reign.may_act() {
-                    worker::command(&reign.node.http, &addr, &c).await
-                } else {
-                    Commanded::Unknown
-                };
+                let sockets = &reign.node.sockets;
+                let outcome = worker::command(sockets, &addr, &c, || reign.may_act()).await;
                 let report = match &outcome {
                     Commanded::Done(r) | Commanded::Refused(r) => Some(r),
                     Commanded::Unknown => None,
@@ -565,9 +602,14 @@
             let bad = Reply::error(400, "the job's description is too long");
             return self.unless_known(id, bad).await;
         }
+        // What can't be stored in time is refused at once.
+        let within = self.node.store.changes_within(STORED_WITHIN);
+        if self.writer.urgent_waiting() as f64 > within {
+            return Reply::later("too many jobs are being stored");
+        }
         let reign = self.clone();
         let stored = tokio::spawn(async move { reign.accept(rec).await });
-        match timeout(Duration::from_millis(2500), stored).await {
+        match timeout(STORED_WITHIN, stored).await {
             Ok(Ok(Ok(()))) => accepted(id, 201),
             Ok(Ok(Err(CommitError::Conflict(_)))) => {
                 let other = Reply::later("the job's state can't be read now");
@@ -635,7 +677,7 @@
         }
         let reign = self.clone();
         let work = tokio::spawn(async move { reign.cancel_stored(id).await });
-        match timeout(Duration::from_millis(2500), work).await {
+        match timeout(STORED_WITHIN, work).await {
             Ok(Ok(reply)) => reply,
             _ => Reply::later("the cancellation can't be stored now"),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,8 @@
 //! the operators say, [`wire`] holds the JSON bodies of the four protocols,
 //! [`store`], [`cloud`] and [`worker`] talk to the outside, [`leader`] owns
 //! the election and the right to act, [`core`] decides (pure, no I/O),
-//! [`api`] serves users and workers, [`peer`] joins the controllers.
+//! [`api`] serves users and workers, [`peer`] joins the controllers, [`sockets`]
+//! shares out the sockets.
 
 pub mod api;
 pub mod cloud;
@@ -13,7 +14,9 @@
 pub mod leader;
 pub mod node;
 pub mod peer;
+pub mod pulse;
 pub mod settings;
+pub mod sockets;
 pub mod store;
 pub mod wire;
 pub mod worker;
--- a/src/main.rs
+++ b/src/main.rs
@@ -30,10 +30,9 @@
         Ok("error") => tracing::Level::ERROR,
         _ => tracing::Level::INFO,
     };
-    // Resets of users' connections are ordinary; the HTTP library calls them errors.
     let quiet = Targets::new()
-        .with_default(level)
-        .with_target("warp", LevelFilter::OFF);
+        .with_default(LevelFilter::ERROR)
+        .with_target("bitternfold", level);
     let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false);
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,7 +14,9 @@
 use crate::http::Http;
 use crate::leader::reign::Reign;
 use crate::peer::{Ask, Link, Reply};
+use crate::pulse::{Load, Pulse};
 use crate::settings::{Platform, Tuning};
+use crate::sockets::Sockets;
 use crate::store::{Store, StoreError};
 use crate::wire::{Change, Guard, JobId, JobSpec, JobView, MachineType, Redirect, Standing, Transaction};
 
@@ -96,8 +98,10 @@
     pub store: Arc<Store>,
     /// The cloud.
     pub cloud: Arc<Cloud>,
-    /// For the workers.
-    pub http: Http,
+    /// The budget of sockets.
+    pub sockets: Sockets,
+    /// Whether this process runs as it should.
+    pub pulse: Pulse,
     /// Links to the other controllers.
     pub links: Vec<Arc<Link>>,
     /// Final states.
@@ -133,7 +137,7 @@
         let limits = platform.params.state.clone();
         // The limits of the state service hold for all controllers together.
         // All but a few requests are the leader's.
-        let http = Http::new(Duration::from_millis(800));
+        let http = Http::default();
         let store = Store::new(
             http.clone(),
             platform.services.state.to_string(),
@@ -141,7 +145,7 @@
             limits.write_rps * 0.7,
         );
         let cloud = Cloud::new(
-            http.clone(),
+            http,
             platform.services.cloud.to_string(),
             platform.params.cloud.rps,
         );
@@ -153,9 +157,10 @@
         Arc::new(Self {
             config: Arc::new(Config::new(&platform, tuning.clone())),
             nonce: rand::random(),
+            sockets: Sockets::new(platform.params.limits.sockets),
+            pulse: Pulse::new(Instant::now()),
             store: Arc::new(store),
             cloud: Arc::new(cloud),
-            http,
             links,
             finals: Mutex::default(),
             types: Mutex::default(),
@@ -207,6 +212,19 @@
         }
     }
 
+    /// Notices that the process has stood still. Asked wherever something is
+    /// about to follow from what was heard, or not heard, of late.
+    pub fn check_pulse(&self) {
+        let now = Instant::now();
+        let Some(still) = self.pulse.stood_still(now) else {
+            return;
+        };
+        info!(for_s = still.as_secs_f64(), "this process stood still");
+        if let Role::Leading(reign) = self.role() {
+            reign.woke(now);
+        }
+    }
+
     /// The latest leader known here, and its term.
     pub fn known_leader(&self) -> Option<(u64, String)> {
         match self.role() {
@@ -303,6 +321,7 @@
 
     /// Answers a report that another controller passes on.
     pub fn answer_report(&self, from: &str, body: &[u8]) -> Reply {
+        self.check_pulse();
         match self.role() {
             Role::Leading(reign) => reign.report(body, from),
             _ => Reply::not_leading(),
@@ -311,8 +330,17 @@
 
     // ---- users ---------------------------------------------------------
 
+    /// The load that this process is under.
+    fn load(&self) -> Load {
+        self.check_pulse();
+        self.pulse.load(Instant::now())
+    }
+
     /// A submission.
     pub async fn submit(&self, body: &[u8]) -> Reply {
+        if self.load() == Load::Swamped {
+            return Reply::later("too much to do");
+        }
         if let Some(reign) = self.reign() {
             return reign.submit(body).await;
         }
@@ -330,6 +358,12 @@
 
     /// A poll.
     pub async fn poll(&self, id: JobId) -> Reply {
+        if self.load() > Load::Fair {
+            return match self.finals.lock().view(id) {
+                Some(view) => Reply::json(200, &view),
+                None => Reply::later("too much to do"),
+            };
+        }
         if let Some(reign) = self.reign() {
             return reign.poll(id).await;
         }
@@ -391,12 +425,11 @@
     /// What the state service says of a job, read afresh. The unfinished ones
     /// come first: a job moves from there to the finished ones, never back.
     pub async fn lookup(&self, id: JobId) -> Result<Lookup, StoreError> {
-        let patience = Duration::from_millis(900);
-        if let Ok(item) = self.store.get_within(&record::job_key(id), patience).await? {
+        if let Ok(item) = self.store.get_soon(&record::job_key(id)).await? {
             let r = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
             return Ok(Lookup::Active(Box::new(r), item.version));
         }
-        if let Ok(item) = self.store.get_within(&record::final_key(id), patience).await? {
+        if let Ok(item) = self.store.get_soon(&record::final_key(id)).await? {
             let f: FinalRecord = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
             self.finals.lock().keep(id, f.state, f.done);
             return Ok(Lookup::Final(JobView {
@@ -415,11 +448,7 @@
         if !known.is_empty() {
             return known;
         }
-        if let Ok(Ok(item)) = self
-            .store
-            .get_within(record::TYPES, Duration::from_millis(900))
-            .await
-        {
+        if let Ok(Ok(item)) = self.store.get_soon(record::TYPES).await {
             if let Ok(types) = serde_json::from_value::<Vec<MachineType>>(item.value) {
                 *self.types.lock() = Arc::new(types);
             }
@@ -531,6 +560,7 @@
 
     /// A worker's report, relayed to the leader if that is another.
     pub async fn report(&self, body: &[u8]) -> Reply {
+        self.check_pulse();
         match self.role() {
             Role::Leading(reign) => reign.report(body, self.host()),
             Role::Following { .. } => self
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,11 @@
 
 use serde::{Deserialize, Deserializer};
 
+use crate::sockets;
+
+/// A controller without work takes less; below it none can start.
+const LEAST_MEMORY_MB: f64 = 8.0;
+
 /// Why the settings can't be used; one line, naming the field.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -105,6 +110,9 @@
     /// Limits of the cloud.
     #[serde(default)]
     pub cloud: CloudLimits,
+    /// Limits of the machine that this controller runs on.
+    #[serde(default, rename = "machine_limits")]
+    pub limits: MachineLimits,
 }
 
 /// A team; 0 means none, for guarantees and for limits.
@@ -204,6 +212,30 @@
     }
 }
 
+/// Limits of a controller's machine.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+pub struct MachineLimits {
+    /// Share of a core.
+    pub core_share: f64,
+    /// Memory.
+    pub memory_mb: f64,
+    /// Open sockets of the process.
+    #[serde(rename = "fd_limit")]
+    pub sockets: usize,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self {
+            core_share: 1.0,
+            memory_mb: 256.0,
+            // What a process is customarily allowed.
+            sockets: 1024,
+        }
+    }
+}
+
 impl Platform {
     /// Reads and checks the file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
@@ -259,6 +291,15 @@
             return bad("cluster.state.txn_ops", "must be at least 2");
         }
         positive("cluster.cloud.rps", p.cloud.rps)?;
+        positive("cluster.machine_limits.core_share", p.limits.core_share)?;
+        if !p.limits.memory_mb.is_finite() || p.limits.memory_mb < LEAST_MEMORY_MB {
+            let least = format!("must be at least {LEAST_MEMORY_MB}");
+            return bad("cluster.machine_limits.memory_mb", &least);
+        }
+        if p.limits.sockets < sockets::LEAST {
+            let least = format!("must be at least {}", sockets::LEAST);
+            return bad("cluster.machine_limits.fd_limit", &least);
+        }
         let mut seen = std::collections::HashSet::new();
         for (i, t) in p.teams.iter().enumerate() {
             if t.name.is_empty() || !seen.insert(&t.name) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -84,6 +84,24 @@
         Duration::from_secs_f64(((need - s.0) / self.rate).max(0.001))
     }
 
+    /// Takes units once they are due, if that is soon; else takes none.
+    async fn pass_soon(&self, units: f64, soon: Duration) -> bool {
+        let wait = {
+            let mut s = self.state.lock();
+            let now = Instant::now();
+            let refill = now.saturating_duration_since(s.1).as_secs_f64() * self.rate;
+            *s = ((s.0 + refill).min(self.burst), now);
+            let wait = Duration::from_secs_f64(((units - s.0) / self.rate).max(0.0));
+            if wait > soon {
+                return false;
+            }
+            s.0 -= units;
+            wait
+        };
+        tokio::time::sleep(wait).await;
+        true
+    }
+
     /// Takes units once they are due.
     pub async fn pass(&self, units: f64) {
         let wait = self.take(units, Instant::now());
@@ -118,6 +136,8 @@
 /// The state service counts as out of reach after failing for so long.
 const UNREACHABLE: Duration = Duration::from_secs(4);
 
+/// How long a user's question may wait for the budget.
+const SOON: Duration = Duration::from_millis(250);
 /// How long an ordinary request may take.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
@@ -159,6 +179,11 @@
         self.failing.lock().is_none_or(|t| t.elapsed() < UNREACHABLE)
     }
 
+    /// How many changes the budget allows within a time.
+    pub fn changes_within(&self, time: Duration) -> f64 {
+        (self.writes.rate * time.as_secs_f64()).max(1.0)
+    }
+
     fn note(&self, answered: bool) {
         let mut failing = self.failing.lock();
         if answered {
@@ -182,12 +207,21 @@
 
     /// Reads a key. `Err(revision)` inside: it does not exist at that revision.
     pub async fn get(&self, key: &str) -> Result<Result<Item, u64>, StoreError> {
-        self.get_within(key, PATIENCE).await
+        self.requests.pass(1.0).await;
+        self.read(key, PATIENCE).await
     }
 
-    /// [`Store::get`] with a deadline of its own.
-    pub async fn get_within(&self, key: &str, timeout: Duration) -> Result<Result<Item, u64>, StoreError> {
-        self.requests.pass(1.0).await;
+    /// [`Store::get`] for one who waits for the answer: where the budget is used
+    /// up for longer than a moment, as in a flood of questions, it is refused at
+    /// once, and what the leader needs for its own doesn't queue behind it.
+    pub async fn get_soon(&self, key: &str) -> Result<Result<Item, u64>, StoreError> {
+        if !self.requests.pass_soon(1.0, SOON).await {
+            return Err(StoreError::Unavailable);
+        }
+        self.read(key, Duration::from_millis(900)).await
+    }
+
+    async fn read(&self, key: &str, timeout: Duration) -> Result<Result<Item, u64>, StoreError> {
         let r = self
             .call(Method::GET, &format!("/kv/{key}"), None, timeout)
             .await?;
@@ -410,6 +444,13 @@
         self.wake.notify_one();
     }
 
+    /// Changes that users wait for and that are not on their way yet.
+    pub fn urgent_waiting(&self) -> usize {
+        let s = self.state.lock();
+        let urgent = s.queue.iter().take_while(|(u, _)| u.urgent);
+        urgent.map(|(u, _)| u.changes.len()).sum()
+    }
+
     /// Commits a unit; returns once it is stored.
     pub async fn commit(&self, unit: Unit) -> Result<(), CommitError> {
         let (reply, answer) = oneshot::channel();
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use hyper::Method;
-
-use crate::http::Http;
+use crate::http::{post_once, HttpError};
+use crate::sockets::Sockets;
 use crate::wire::{Commands, Report};
 
 /// What came of a command.
@@ -21,23 +20,17 @@
 /// How long a command may take.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
-/// Sends commands to a worker.
-pub async fn command(http: &Http, addr: &str, commands: &Commands) -> Commanded {
+/// Sends commands to a worker, if `go` still allows it once it is connected.
+pub async fn command(sockets: &Sockets, addr: &str, commands: &Commands, go: impl Fn() -> bool) -> Commanded {
     let Ok(body) = serde_json::to_vec(commands) else {
         return Commanded::Unknown;
     };
-    let Ok(r) = http
-        .call(Method::POST, addr, "/commands", Some(body), PATIENCE)
-        .await
-    else {
-        return Commanded::Unknown;
-    };
-    let Ok(report) = serde_json::from_slice::<Report>(&r.body) else {
-        return Commanded::Unknown;
-    };
-    match r.status {
-        200 => Commanded::Done(report),
-        409 => Commanded::Refused(report),
-        _ => Commanded::Unknown,
+    let _socket = sockets.command().await;
+    let answer = post_once(addr, "/commands", body, PATIENCE, go).await;
+    let report = |r: &bytes::Bytes| serde_json::from_slice::<Report>(r);
+    match answer.map(|r| (r.status, report(&r.body))) {
+        Ok((200, Ok(report))) => Commanded::Done(report),
+        Ok((409, Ok(report))) => Commanded::Refused(report),
+        Ok(_) | Err(HttpError::Unsent | HttpError::Unanswered) => Commanded::Unknown,
     }
 }
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -500,7 +500,7 @@
     }
 
     async fn report(self: Arc<Self>, m: Arc<Mutex<Machine>>) {
-        let http = Http::new(Duration::from_millis(500));
+        let http = Http::default();
         let mut at = 0;
         loop {
             sleep(Duration::from_millis(150)).await;
@@ -577,7 +577,7 @@
 
 /// A user's request: status, Retry-After, body.
 pub async fn ask(method: &str, addr: SocketAddr, path: &str, body: Option<Value>) -> (u16, Value) {
-    let http = Http::new(Duration::from_millis(500));
+    let http = Http::default();
     let method = hyper::Method::from_bytes(method.as_bytes()).expect("a method");
     let body = body.map(|b| Bytes::from(b.to_string()).to_vec());
     match http
