--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -340,6 +340,10 @@
 
     fn round(&mut self, now: Instant, plainly: bool) -> Round {
         let mut round = Round::default();
+        if !self.jobs.values().any(|j| !j.cancelled && j.waiting.count() > 0) {
+            self.all_sunny();
+            return round;
+        }
         let ranks = self.ranks(now);
         let mut queue: Vec<(Rank, JobId)> = self
             .jobs
@@ -347,10 +351,6 @@
             .filter(|j| !j.cancelled && j.waiting.count() > 0)
             .filter_map(|j| Some((*ranks.get(&j.spec.id)?, j.spec.id)))
             .collect();
-        if queue.is_empty() {
-            self.all_sunny();
-            return round;
-        }
         queue.sort_unstable();
         self.end_broken_gangs(now);
         let mut p = Planner::new(self, ranks, now, plainly);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -26,8 +26,14 @@
     alive: bool,
     /// Its reports arrive, but answers and commands don't reach it.
     deaf: bool,
+    /// Its last answered report was sent then; its lease runs from there.
+    renewed: Instant,
 }
 
+/// The lease of the settings, and how long a worker waits for an answer.
+const LEASE: Duration = Duration::from_secs(20);
+const PATIENCE: Duration = Duration::from_secs(4);
+
 impl Worker {
     fn report(&mut self) -> Report {
         self.seq += 1;
@@ -106,7 +112,8 @@
         report: Option<Report>,
         term: u64,
     },
-    Report(Report),
+    /// A report and when it was sent.
+    Report(Report, Instant),
     Write {
         write: Write,
         term: u64,
@@ -122,6 +129,8 @@
         session: u64,
         token: u64,
         orders: Vec<Command>,
+        /// When its report was sent.
+        sent: Instant,
     },
 }
 
@@ -150,6 +159,9 @@
     Late(usize),
     /// The deposed leader, alone with the workers, answers a report.
     OldReport(usize),
+    /// The leader stands still for so many seconds while all clocks run on.
+    /// What was sent to it, and by it, is still on its way after.
+    Freeze(u64),
     Elect,
     Wait(u64),
 }
@@ -163,7 +175,7 @@
     model: Model,
     /// The leader before, which doesn't know that it is over.
     old: Option<Model>,
-    copies: Vec<Report>,
+    copies: Vec<Message>,
     workers: Vec<Worker>,
     mail: Vec<Message>,
     next_job: u32,
@@ -173,6 +185,7 @@
 
 impl World {
     fn new() -> Self {
+        let now = start();
         let workers = (0..4)
             .map(|i| Worker {
                 id: format!("i-{i}").as_str().into(),
@@ -183,10 +196,11 @@
                 tasks: BTreeMap::new(),
                 alive: true,
                 deaf: false,
+                renewed: now,
             })
             .collect();
         Self {
-            now: start(),
+            now,
             term: 1,
             jobs: BTreeMap::new(),
             finals: BTreeMap::new(),
@@ -206,8 +220,22 @@
         self.workers.iter_mut().find(|w| w.id == *id)
     }
 
+    /// Time passes; workers whose lease runs out kill and forget all.
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        for w in &mut self.workers {
+            if self.now.saturating_duration_since(w.renewed) > LEASE {
+                w.tasks.clear();
+                w.session += 1;
+                w.seq = 0;
+                w.renewed = self.now;
+            }
+        }
+    }
+
     /// One round of the leader.
     fn round(&mut self) {
+        self.model.clear_lapsed(self.now);
         self.model.plan(self.now);
         let term = self.term;
         for write in self.model.take_writes(self.now) {
@@ -277,7 +305,7 @@
             Message::Answer { from, report, term } if term == self.term => {
                 self.model.commanded(&from, report.as_ref(), self.now);
             }
-            Message::Report(r) => {
+            Message::Report(r, sent) => {
                 self.model.heard(&r, self.now);
                 if let Some((token, orders)) = self.model.reply(&r.machine, r.token, self.now) {
                     self.mail.push(Message::Reply {
@@ -285,6 +313,7 @@
                         session: r.session,
                         token,
                         orders,
+                        sent,
                     });
                 }
             }
@@ -293,8 +322,16 @@
                 session,
                 token,
                 orders,
+                sent,
             } => {
+                let now = self.now;
                 if let Some(w) = self.worker(&to).filter(|w| w.alive && !w.deaf) {
+                    // Answers that are late, of an earlier session or of an
+                    // earlier leader are dropped.
+                    if now > sent + PATIENCE || session != w.session || token < w.token {
+                        return;
+                    }
+                    w.renewed = w.renewed.max(sent);
                     let started = w.run(&Commands {
                         token,
                         session,
@@ -321,6 +358,30 @@
         }
     }
 
+    /// A copy of a message arrives, now or much later than the message itself.
+    fn repeat(&mut self, m: Message) {
+        match m {
+            // Its answer reaches nobody.
+            Message::Report(r, _) => {
+                self.model.heard(&r, self.now);
+                let _ = self.model.reply(&r.machine, r.token, self.now);
+            }
+            Message::Command { to, commands, .. } => {
+                if let Some(w) = self.worker(&to).filter(|w| w.alive && !w.deaf) {
+                    for t in w.run(&commands) {
+                        self.no_double(t);
+                    }
+                }
+            }
+            // A transaction's conditions hold once at the most, and what its
+            // sender makes of its answer, or of one given up, it makes once.
+            Message::Reply { .. }
+            | Message::Write { .. }
+            | Message::Wrote { .. }
+            | Message::Answer { .. } => {}
+        }
+    }
+
     fn tell(&mut self, id: JobId, s: Standing) {
         if let Some(old) = self.told.insert(id, s) {
             if matches!(old, Standing::Done | Standing::Cancelled) {
@@ -411,18 +472,16 @@
                 let w = &mut self.workers[i % n];
                 if w.alive {
                     let r = w.report();
-                    self.mail.push(Message::Report(r));
+                    self.mail.push(Message::Report(r, self.now));
                 }
             }
             Op::Deliver(i) if !self.mail.is_empty() => {
                 let m = self.mail.remove(i % self.mail.len());
                 self.deliver(m);
             }
-            // Reports may come twice; commands and writes may not.
             Op::Repeat(i) if !self.mail.is_empty() => {
-                if let m @ Message::Report(_) = self.mail[i % self.mail.len()].clone() {
-                    self.deliver(m);
-                }
+                let m = self.mail[i % self.mail.len()].clone();
+                self.repeat(m);
             }
             Op::Lose(i) if !self.mail.is_empty() => {
                 let i = i % self.mail.len();
@@ -435,7 +494,7 @@
                             term,
                         });
                     }
-                    Message::Report(_) | Message::Reply { .. } => drop(self.mail.remove(i)),
+                    Message::Report(..) | Message::Reply { .. } => drop(self.mail.remove(i)),
                     Message::Answer { from, term, .. } => {
                         self.mail[i] = Message::Answer {
                             from,
@@ -478,15 +537,11 @@
                 }
             }
             Op::Copy(i) if !self.mail.is_empty() => {
-                if let Message::Report(r) = &self.mail[i % self.mail.len()] {
-                    self.copies.push(r.clone());
-                }
+                self.copies.push(self.mail[i % self.mail.len()].clone());
             }
             Op::Late(i) if !self.copies.is_empty() => {
-                let r = self.copies[i % self.copies.len()].clone();
-                // Its answer reaches nobody.
-                self.model.heard(&r, self.now);
-                let _ = self.model.reply(&r.machine, r.token, self.now);
+                let m = self.copies[i % self.copies.len()].clone();
+                self.repeat(m);
             }
             Op::OldReport(i) => {
                 let w = &mut self.workers[i % n];
@@ -499,6 +554,7 @@
                             session: r.session,
                             token,
                             orders: Vec::new(),
+                            sent: self.now,
                         });
                     }
                 }
@@ -522,12 +578,17 @@
                             tasks: BTreeMap::new(),
                             alive: true,
                             deaf: false,
+                            renewed: self.now,
                         });
                     }
                 }
             }
             Op::Elect => self.elect(),
-            Op::Wait(ms) => self.now += Duration::from_millis(ms),
+            Op::Wait(ms) => self.pass(Duration::from_millis(ms)),
+            Op::Freeze(s) => {
+                self.pass(secs(s));
+                self.model.listen_from(self.now);
+            }
             _ => {}
         }
         self.round();
@@ -553,6 +614,7 @@
         2 => any::<usize>().prop_map(Op::OldReport),
         1 => Just(Op::Elect),
         3 => (1..2000u64).prop_map(Op::Wait),
+        1 => (1..60u64).prop_map(Op::Freeze),
     ]
 }
 
--- /dev/null
+++ b/tests/size.rs
@@ -0,0 +1,314 @@
+//! Work in proportion to what changed, at a fleet half as large again as the
+//! largest that is planned for. Work is counted, in allocations, not timed.
+
+mod support;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+use std::time::Instant;
+
+use bitternfold::core::store_plan::Write;
+use bitternfold::core::Model;
+use bitternfold::wire::*;
+use support::*;
+
+/// Counts the allocations of each thread.
+struct Counting;
+
+thread_local! {
+    static COUNT: Cell<u64> = const { Cell::new(0) };
+}
+
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        let _ = COUNT.try_with(|c| c.set(c.get() + 1));
+        System.alloc(layout)
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        System.dealloc(ptr, layout);
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+fn work<T>(f: impl FnOnce() -> T) -> (u64, T) {
+    let before = COUNT.with(Cell::get);
+    let out = f();
+    (COUNT.with(Cell::get) - before, out)
+}
+
+const SMALL: usize = 220;
+const LARGE: usize = 2200;
+
+fn id(i: usize) -> MachineId {
+    format!("i-{i:06}").as_str().into()
+}
+
+/// All that is due is stored; what is due next, too.
+fn store(m: &mut Model, now: Instant) -> Vec<(u64, Option<serde_json::Value>)> {
+    let mut segments = Vec::new();
+    for s in 0..400 {
+        for w in m.take_writes(now + secs(s)) {
+            if let Write::Log(a) = &w {
+                segments.extend(a.segments.iter().cloned());
+            }
+            m.written(&w, true, now);
+        }
+    }
+    segments
+}
+
+/// A cluster of so many machines, all full, and thousands of waiting tasks.
+fn full(machines: usize, now: Instant) -> (Model, Vec<(u64, Option<serde_json::Value>)>) {
+    let mut m = model(7);
+    for i in 0..machines {
+        m.heard(&report(&id(i), "small", "north", false, 7, 1), now);
+    }
+    for j in 0..machines / 20 {
+        // 40 tasks of 4 CPUs: as many as fit on 20 machines of 8, and some more jobs wait.
+        m.add_job(record(job(j as u32, 40, 4.0)), now);
+    }
+    m.plan(now);
+    for j in 0..30 {
+        m.add_job(record(job(100_000 + j, 100, 4.0)), now);
+    }
+    let segments = store(&mut m, now);
+    for (to, _, c) in m.commands(now, usize::MAX) {
+        let mut r = report(&to, "small", "north", false, 7, 2);
+        r.token = c.token;
+        r.tasks = m.machines[&to]
+            .slots
+            .iter()
+            .map(|(t, s)| ReportedTask {
+                task: *t,
+                attempt: s.attempt,
+                state: TaskState::Running,
+                why: None,
+                saved: None,
+            })
+            .collect();
+        m.commanded(&to, Some(&r), now);
+    }
+    let running: usize = m.jobs.values().map(|j| j.running.len()).sum();
+    assert_eq!(running, machines * 2, "all machines are full");
+    (m, segments)
+}
+
+/// The report of a machine in which the first task has ended.
+fn ended(m: &Model, i: usize, seq: u64) -> Report {
+    let mut r = report(&id(i), "small", "north", false, 7, seq);
+    r.token = m.machines[&id(i)].seen_token;
+    r.tasks = m.machines[&id(i)]
+        .slots
+        .iter()
+        .enumerate()
+        .map(|(n, (t, s))| ReportedTask {
+            task: *t,
+            attempt: s.attempt,
+            state: if n == 0 {
+                TaskState::Exited
+            } else {
+                TaskState::Running
+            },
+            why: (n == 0).then_some(Why::Done),
+            saved: None,
+        })
+        .collect();
+    r
+}
+
+#[test]
+fn a_report_a_start_and_an_append_cost_the_same_in_a_large_fleet() {
+    let now = start();
+    let costs = [SMALL, LARGE].map(|machines| {
+        let (mut m, _) = full(machines, now);
+        let r = ended(&m, machines / 2, 3);
+        let at = now + secs(1000);
+        let (heard, _) = work(|| {
+            m.heard(&r, at);
+            m.reply(&r.machine, r.token, at)
+        });
+        let (append, writes) = work(|| m.take_writes(at));
+        let bytes: usize = writes
+            .iter()
+            .filter_map(|w| match w {
+                Write::Log(a) => Some(
+                    a.segments
+                        .iter()
+                        .map(|s| s.1.as_ref().map_or(0, |v| v.to_string().len())),
+                ),
+                _ => None,
+            })
+            .flatten()
+            .sum();
+        assert!(bytes > 0 && bytes <= 2 * 4096, "an append of {bytes} bytes");
+        writes.iter().for_each(|w| m.written(w, true, at));
+        let (round, done) = work(|| m.plan(at));
+        assert_eq!(
+            done.in_order + done.backfilled,
+            1,
+            "the place that fell free is taken"
+        );
+        let writes = m.take_writes(at + secs(1));
+        writes.iter().for_each(|w| m.written(w, true, at));
+        let (commands, out) = work(|| m.commands(at, 64));
+        assert_eq!(out.len(), 1, "one machine has something to be told");
+        (heard, append, commands, round)
+    });
+    let [small, large] = costs;
+    // The open segment is written again as a whole, whatever the fleet.
+    assert!(large.0 <= small.0 + 8, "a report: {} for {}", large.0, small.0);
+    assert!(
+        large.1 <= small.1 * 2 + 600,
+        "an append: {} for {}",
+        large.1,
+        small.1
+    );
+    assert!(large.2 <= small.2 + 8, "commands: {} for {}", large.2, small.2);
+    // A round looks at each machine once, at no pair of them.
+    assert!(large.3 <= small.3 * 12, "a round: {} for {}", large.3, small.3);
+}
+
+#[test]
+fn a_round_without_waiting_work_costs_the_same_in_a_large_fleet() {
+    let now = start();
+    let [small, large] = [SMALL, LARGE].map(|machines| {
+        let (mut m, _) = full(machines, now);
+        let waiting: Vec<JobId> = m
+            .jobs
+            .values()
+            .filter(|j| j.waiting.count() > 0)
+            .map(|j| j.spec.id)
+            .collect();
+        waiting.into_iter().for_each(|id| m.remove_job(id));
+        work(|| m.plan(now)).0
+    });
+    assert!(large <= small + 8, "{large} for {small}");
+}
+
+#[test]
+fn a_takeover_costs_in_proportion_to_what_is_live() {
+    let now = start();
+    let [small, large] = [SMALL, LARGE].map(|machines| {
+        let (old, segments) = full(machines, now);
+        // Later copies of a segment replace earlier ones.
+        let stored: std::collections::BTreeMap<_, _> = segments.into_iter().collect();
+        let mut next = model(8);
+        let (cost, ()) = work(|| {
+            for j in old.jobs.values() {
+                next.add_job(j.record(), now);
+            }
+            for (n, v) in stored.iter().filter_map(|(n, v)| Some((n, v.clone()?))) {
+                assert!(next.log.load(*n, v));
+            }
+            next.load_log(now);
+        });
+        assert_eq!(next.machines.len(), machines);
+        let places: usize = next.jobs.values().map(|j| j.placed as usize).sum();
+        assert_eq!(places, machines * 2, "every place is known");
+        cost
+    });
+    assert!(large <= small * 13, "{large} for {small}");
+}
+
+#[test]
+fn a_new_leader_asks_in_bounded_numbers_and_starts_first() {
+    // Thousands of machines are to be asked what is on them. Not all at once:
+    // the touch of the hold must not wait behind them. What a machine that has
+    // spoken already has room for doesn't wait behind them, either.
+    let now = start();
+    let (old, segments) = full(LARGE, now);
+    let mut m = model(8);
+    for j in old.jobs.values() {
+        m.add_job(j.record(), now);
+    }
+    let stored: std::collections::BTreeMap<_, _> = segments.into_iter().collect();
+    for (n, v) in stored {
+        assert!(m.log.load(n, v.expect("written")));
+    }
+    m.load_log(now);
+    assert!(!m.all_fenced());
+    let first = m.commands(now, 64);
+    assert_eq!(first.len(), 64);
+    assert!(m.commands(now, 0).is_empty(), "no socket is free");
+    // The last machine, by its own report, obeys this term and has lost its tasks.
+    let last = id(LARGE - 1);
+    let mut r = report(&last, "small", "north", false, 8, 90);
+    r.token += 5;
+    m.heard(&r, now);
+    let round = m.plan(now);
+    assert!(round.in_order + round.backfilled > 0);
+    for w in m.take_writes(now) {
+        m.written(&w, true, now);
+    }
+    let next = m.commands(now, 64);
+    let starts = |c: &Commands| c.commands.iter().any(|c| matches!(c, Command::Start { .. }));
+    assert!(next.iter().any(|(to, _, c)| *to == last && starts(c)));
+    assert!(next.len() <= 65);
+    // Asked in turn, all are reached.
+    let mut asked = first.len() + next.len() - 1;
+    while asked < LARGE - 1 {
+        let more = m.commands(now, 64).len();
+        assert!(more > 0 && more <= 64);
+        asked += more;
+    }
+}
+
+#[test]
+fn the_log_stays_in_proportion_over_a_long_run() {
+    // Hours of work on the same machines: segments come and go.
+    let now = start();
+    let mut m = model(7);
+    for i in 0..40 {
+        m.heard(&report(&id(i), "small", "north", false, 7, 1), now);
+    }
+    let mut stored = std::collections::BTreeMap::new();
+    for turn in 0..400u32 {
+        let at = now + secs(u64::from(turn) * 2);
+        m.add_job(record(job(turn, 80, 4.0)), at);
+        for i in 0..40 {
+            // What ended in the turn before is forgotten.
+            let mut r = report(&id(i), "small", "north", false, 7, 2 + u64::from(turn) * 2);
+            r.token = m.machines[&id(i)].seen_token;
+            m.heard(&r, at);
+        }
+        m.plan(at);
+        for w in m.take_writes(at) {
+            if let Write::Log(a) = &w {
+                for (n, v) in &a.segments {
+                    match v {
+                        Some(v) => stored.insert(*n, v.to_string().len()),
+                        None => stored.remove(n),
+                    };
+                }
+            }
+            m.written(&w, true, at);
+        }
+        // Its tasks are told to start, run and end.
+        for (to, _, c) in m.commands(at, 64) {
+            let mut r = report(&to, "small", "north", false, 7, 3 + u64::from(turn) * 2);
+            r.token = c.token;
+            r.tasks = m.machines[&to]
+                .slots
+                .iter()
+                .map(|(t, s)| ReportedTask {
+                    task: *t,
+                    attempt: s.attempt,
+                    state: TaskState::Exited,
+                    why: Some(Why::Done),
+                    saved: None,
+                })
+                .collect();
+            m.commanded(&to, Some(&r), at);
+        }
+        m.jobs.retain(|_, j| !j.complete());
+    }
+    let bytes: usize = stored.values().sum();
+    assert!(
+        stored.len() <= 16 && bytes <= 16 * 4096,
+        "{} segments, {bytes} bytes",
+        stored.len()
+    );
+}
