Tests: limits of sockets, floods, takeover, pauses, and all that was said a second time

Through the real endpoints: more workers than sockets are served in turn and users all the same; a flood of questions is refused at once; a takeover of many machines goes on while leaders come and go; late copies of every transaction, command, report, submission and cancellation change nothing. Settings whose limits can't work name their field.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -206,3 +206,50 @@
     assert_eq!(released(&mut m, now + secs(29)), ["i-south-1"]);
     assert_eq!(m.machines[&id].phase, Phase::Releasing);
 }
+
+#[test]
+fn a_pause_of_this_process_is_no_silence_of_others() {
+    // A controller that stood still has heard nobody; its hold may have lived on,
+    // as in an outage. To release all machines for that would end all work.
+    let now = start();
+    let mut m = cluster(5, now);
+    speak(&mut m, "north", 10, now);
+    speak(&mut m, "south", 10, now);
+    let id = MachineId::from("i-north-0");
+    m.commanded(&id, None, now);
+    let woke = now + secs(15);
+    m.listen_from(woke);
+    // Most report within a second, a few only when their interval is over.
+    speak(&mut m, "south", 20, woke);
+    speak(&mut m, "north-1", 20, woke);
+    speak(&mut m, "north-2", 20, woke);
+    assert_eq!(released(&mut m, woke + secs(1)), Vec::<String>::new());
+    assert!(!m.cut_from_workers(woke + secs(1)));
+    assert!(m.machines.values().all(|x| !x.cordoned && x.slots.len() == 1));
+    // One that stays silent from then on is released as ever.
+    for s in 1..=12 {
+        speak(&mut m, "south", 30 + s, woke + secs(s));
+        let ids: Vec<MachineId> = m.machines.keys().cloned().collect();
+        for id in ids.iter().filter(|i| i.contains("north") && ***i != *"i-north-0") {
+            let mut r = report(id, "small", "north", false, 7, 30 + s);
+            r.token = m.machines[id].seen_token;
+            r.tasks = running(&m, id);
+            m.heard(&r, woke + secs(s));
+            m.reply(id, r.token, woke + secs(s));
+        }
+    }
+    assert_eq!(released(&mut m, woke + secs(12)), ["i-north-0"]);
+}
+
+#[test]
+fn a_lease_that_another_may_renew_is_not_taken_as_run_out() {
+    // Until a machine obeys this term, the leader before may answer its reports.
+    let now = start();
+    let mut m = cluster(1, now);
+    let id = MachineId::from("i-north-0");
+    m.machines.get_mut(&id).expect("known").seen_token = 6 << 20;
+    m.clear_lapsed(now + secs(90));
+    assert_eq!(m.machines[&id].slots.len(), 1);
+    let other = MachineId::from("i-south-0");
+    assert!(m.machines[&other].slots.is_empty(), "this one obeys: it is over");
+}
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -170,6 +170,23 @@
         ("name = \"blue\"", "name = \"red\"", "cluster.teams[1].name"),
         ("share = 0.9", "share = 9.0", "cluster.objectives[0].share"),
         ("127.0.0.1:4", "localhost", "services.cloud"),
+        ("\nrps = 200.0", "\nrps = 0.0", "cluster.state.rps"),
+        ("write_rps = 100.0", "write_rps = 0.0", "cluster.state.write_rps"),
+        (
+            "list_lag_s = 4.0",
+            "list_lag_s = 4.0\n[cluster.machine_limits]\nfd_limit = 0",
+            "cluster.machine_limits.fd_limit",
+        ),
+        (
+            "list_lag_s = 4.0",
+            "list_lag_s = 4.0\n[cluster.machine_limits]\nmemory_mb = 0.0",
+            "cluster.machine_limits.memory_mb",
+        ),
+        (
+            "list_lag_s = 4.0",
+            "list_lag_s = 4.0\n[cluster.machine_limits]\ncore_share = 0.0",
+            "cluster.machine_limits.core_share",
+        ),
     ] {
         let text = support::SETTINGS.replace(from, to);
         let e = Platform::parse(&text, "test").expect_err(field).to_string();
--- /dev/null
+++ b/tests/overload.rs
@@ -0,0 +1,290 @@
+//! Too little of something, or too much: sockets, questions, machines at once,
+//! and all that was ever said arriving a second time.
+
+#[path = "support/site.rs"]
+mod site;
+#[path = "support/standins.rs"]
+mod standins;
+mod support;
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bitternfold::http::{post_once, HttpError};
+use bitternfold::sockets::Sockets;
+use serde_json::json;
+use site::{on_loopback, Site, LONG};
+use standins::ask;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+pub use support::types;
+
+/// A report sent over a connection that stays open; whether the answer asks
+/// for it to be closed, or nothing if it was not answered.
+async fn report_over(stream: &mut TcpStream, name: &str, seq: u64) -> Option<bool> {
+    let body = serde_json::to_string(&support::report(name, "small", "north", false, 0, seq)).ok()?;
+    let text = format!(
+        "POST /v1/report HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await.ok()?;
+    let mut buf = vec![0; 4096];
+    let n = stream.read(&mut buf).await.ok().filter(|n| *n > 0)?;
+    let answer = String::from_utf8_lossy(&buf[..n]).to_lowercase();
+    Some(answer.contains("connection: close"))
+}
+
+#[test]
+fn more_workers_than_sockets_are_served_in_turn_and_users_all_the_same() {
+    // One controller is left, and its limit of sockets has room for fewer than
+    // a third of the workers. At the limit neither a connection could be taken
+    // nor the state service be reached, and the right to act would be lost.
+    on_loopback(async {
+        let mut site = Site::with(Duration::from_millis(300), |text| {
+            format!("{text}\n[cluster.machine_limits]\nfd_limit = 64\n")
+        })
+        .await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 3))).await;
+        site.kill(1);
+        site.kill(2);
+        let answered = Arc::new(AtomicU32::new(0));
+        let over = Arc::new(AtomicBool::new(false));
+        let asked_to_close = Arc::new(AtomicU32::new(0));
+        for w in 0..100 {
+            let (addr, answered, over, closes) = (
+                site.api[0],
+                answered.clone(),
+                over.clone(),
+                asked_to_close.clone(),
+            );
+            tokio::spawn(async move {
+                let mut first = true;
+                let mut seq = 0;
+                while !over.load(Ordering::Relaxed) {
+                    let Ok(mut stream) = TcpStream::connect(addr).await else {
+                        continue;
+                    };
+                    loop {
+                        seq += 1;
+                        let Some(close) = report_over(&mut stream, &format!("x-{w}"), seq).await else {
+                            break;
+                        };
+                        if std::mem::take(&mut first) {
+                            answered.fetch_add(1, Ordering::Relaxed);
+                        }
+                        if close {
+                            closes.fetch_add(1, Ordering::Relaxed);
+                            break;
+                        }
+                        sleep(Duration::from_millis(200)).await;
+                    }
+                    sleep(Duration::from_millis(100)).await;
+                }
+            });
+        }
+        let began = Instant::now();
+        while answered.load(Ordering::Relaxed) < 100 {
+            assert!(
+                began.elapsed() < LONG,
+                "{answered:?} of 100 workers were answered"
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(asked_to_close.load(Ordering::Relaxed) > 0, "many had to close");
+        let (status, v) = site.insist("POST", 0, "/v2/runs", Some(site.job(2, 3))).await;
+        assert!([200, 201].contains(&status), "{v}");
+        assert_eq!(ask("GET", site.api[0], "/up", None).await.0, 200);
+        site.until(0, "job-000002", "done").await;
+        assert!(site.cloud.doubles.lock().is_empty());
+        over.store(true, Ordering::Relaxed);
+    });
+}
+
+#[test]
+fn the_shares_of_the_sockets_leave_something_for_each() {
+    for limit in [bitternfold::sockets::LEAST, 256, 1024, 3312, 65_536] {
+        let s = Sockets::new(limit);
+        let commands = s.commands_free();
+        assert!(commands >= 8 && !s.crowded());
+        on_loopback(async {
+            let mut held = Vec::new();
+            while let Ok(Some(p)) = tokio::time::timeout(Duration::from_millis(10), s.incoming()).await {
+                held.push(p);
+            }
+            assert!(s.crowded());
+            assert!(held.len() >= 16);
+            // What is left is for the state service, the cloud and the others.
+            assert!(
+                held.len() + commands + 24 <= limit,
+                "{} + {commands} of {limit}",
+                held.len()
+            );
+            assert_eq!(s.commands_free(), commands, "full of users, commands go on");
+        });
+    }
+}
+
+#[test]
+fn what_was_decided_before_a_pause_is_not_handed_over_after() {
+    // A controller may stand still between its decision and the sending of it;
+    // by then another leads. The right is asked with the connection in hand.
+    on_loopback(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address").to_string();
+        let server = tokio::spawn(async move {
+            let mut lengths = Vec::new();
+            for _ in 0..2 {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let mut buf = vec![0; 4096];
+                let n = stream.read(&mut buf).await.unwrap_or(0);
+                lengths.push(n);
+                let _ = stream
+                    .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+                    .await;
+            }
+            lengths
+        });
+        let send = |go: bool| post_once(&addr, "/commands", b"{}".to_vec(), LONG, move || go);
+        assert_eq!(send(false).await.err(), Some(HttpError::Unsent));
+        assert_eq!(send(true).await.map(|r| r.status), Ok(200));
+        let lengths = server.await.expect("it ran");
+        assert_eq!(lengths[0], 0, "not a byte");
+        assert!(lengths[1] > 0);
+    });
+}
+
+#[test]
+fn a_flood_of_questions_is_refused_at_once_and_work_goes_on() {
+    // Questions about unknown jobs need the state service. Without a bound they
+    // queue for its budget, and what the leader needs queues behind them.
+    on_loopback(async {
+        let site = Site::with(Duration::from_millis(300), |text| {
+            text.replace("rps = 200.0\nwrite_rps", "rps = 40.0\nwrite_rps")
+        })
+        .await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 3))).await;
+        let mut flood = tokio::task::JoinSet::new();
+        let before = site.state.reads();
+        let began = Instant::now();
+        for n in 0..400usize {
+            let addr = site.api[n % 3];
+            flood.spawn(async move { ask("GET", addr, &format!("/v2/runs/job-9{n:05}"), None).await.0 });
+        }
+        let (status, v) = site.insist("POST", 1, "/v2/runs", Some(site.job(2, 3))).await;
+        assert!([200, 201].contains(&status), "{v}");
+        let answers = flood.join_all().await;
+        let asked = site.state.reads() - before;
+        // Three budgets of 0.6 of 40, a second's worth each at once, and the rest as time allows.
+        let most = 3.0 * 24.0 * (2.0 + began.elapsed().as_secs_f64());
+        assert!((asked as f64) < most, "{asked} reads of {most}");
+        assert!(answers.iter().all(|s| [404, 503].contains(s)), "{answers:?}");
+        assert!(
+            answers.contains(&503),
+            "what can't be known soon is refused at once"
+        );
+        site.until(2, "job-000002", "done").await;
+    });
+}
+
+#[test]
+fn a_takeover_of_many_machines_goes_on_while_leaders_come_and_go() {
+    // All controllers end at once, come back within a fraction of a second, and
+    // end one after the other while the next is asking its machines.
+    on_loopback(async {
+        let mut site = Site::with(Duration::from_secs(2), |text| {
+            format!("{text}\n[cluster.machine_limits]\nfd_limit = 256\n")
+        })
+        .await;
+        for i in 0..60 {
+            site.cloud
+                .boot(if i % 2 == 0 { "north" } else { "south" }, false)
+                .await;
+        }
+        for n in 0..6 {
+            site.insist("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 40)))
+                .await;
+        }
+        site.until(0, "job-000000", "running").await;
+        for round in 0..3 {
+            (0..3).for_each(|i| site.kill(i));
+            sleep(Duration::from_millis(100)).await;
+            (0..3).for_each(|i| site.boot(i));
+            sleep(Duration::from_millis(300 * (round + 1))).await;
+            site.state.end_holds();
+        }
+        for n in 0..6 {
+            site.until(n % 3, &format!("job-{n:06}"), "done").await;
+        }
+        let most = site.cloud.most_at_once.lock().1;
+        // A quarter of what is left beside the controller's own; two leaders may overlap.
+        assert!(most <= 2 * 58, "{most} commands at once");
+        assert!(
+            site.cloud.doubles.lock().is_empty(),
+            "{:?}",
+            site.cloud.doubles.lock()
+        );
+    });
+}
+
+#[test]
+fn nothing_that_was_said_happens_twice() {
+    // Late copies of every kind of request that was carried out: transactions
+    // (elections among them), commands, reports, submissions, cancellations.
+    on_loopback(async {
+        let mut site = Site::start(Duration::from_millis(300)).await;
+        for n in 0..4 {
+            site.insist("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 5)))
+                .await;
+        }
+        site.insist("POST", 1, "/v2/runs/job-000003/cancel", None).await;
+        // A term ends between, so that there are copies of an earlier leader's words, too.
+        site.state.end_holds();
+        site.kill(0);
+        sleep(Duration::from_millis(200)).await;
+        site.boot(0);
+        let ends = ["done", "done", "done", "cancelled"];
+        for (n, end) in ends.iter().enumerate() {
+            site.until(n % 3, &format!("job-{n:06}"), end).await;
+        }
+        let began = Instant::now();
+        while !(0..4).all(|n| site.state.has(&format!("final/job-{n:06}"))) {
+            assert!(began.elapsed() < LONG, "the ends are stored");
+            sleep(Duration::from_millis(50)).await;
+        }
+        let starts = *site.cloud.starts.lock();
+        let finals = |site: &Site| {
+            let mut all = site.state.stamps();
+            all.retain(|k, _| k.starts_with("final/") || k.starts_with("jobs/"));
+            all
+        };
+        let stored = finals(&site);
+        assert_eq!(site.state.repeat_all(), 0, "a transaction's guards hold once");
+        site.cloud.repeat_commands();
+        for (i, body) in site.cloud.reported().into_iter().enumerate().step_by(7) {
+            let report = serde_json::from_slice(&body).expect("json");
+            ask("POST", site.api[i % 3], "/v1/report", Some(report)).await;
+        }
+        for (n, end) in ends.iter().enumerate() {
+            for at in 0..3 {
+                let job = format!("job-{n:06}");
+                let (status, v) = site
+                    .insist("POST", at, "/v2/runs", Some(site.job(n as u32, 5)))
+                    .await;
+                assert_eq!((status, &v["standing"]), (200, &json!(end)));
+                let (status, v) = site
+                    .insist("POST", at, &format!("/v2/runs/{job}/cancel"), None)
+                    .await;
+                assert_eq!((status, &v["standing"]), (200, &json!(end)));
+                site.until(at, &job, end).await;
+            }
+        }
+        // Long enough for a round of everything that could follow.
+        sleep(Duration::from_millis(1500)).await;
+        assert_eq!(*site.cloud.starts.lock(), starts, "no task is started once more");
+        assert_eq!(finals(&site), stored);
+        assert!(site.cloud.doubles.lock().is_empty());
+    });
+}
--- /dev/null
+++ b/tests/support/site.rs
@@ -0,0 +1,147 @@
+//! A whole site on loopback, for tests through the real endpoints.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bitternfold::leader;
+use bitternfold::settings::{Platform, Tuning};
+use serde_json::{json, Value};
+use tokio::time::sleep;
+
+use crate::standins::{ask, Cloud, State};
+use crate::support;
+
+/// A bound is far above what anything here takes; reaching it is a failure.
+pub const LONG: Duration = Duration::from_secs(60);
+
+fn free_port() -> SocketAddr {
+    let l = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    l.local_addr().expect("an address")
+}
+
+/// Three controllers, a state service and a cloud.
+pub struct Site {
+    pub state: Arc<State>,
+    pub cloud: Arc<Cloud>,
+    pub api: Vec<SocketAddr>,
+    texts: Vec<String>,
+    stops: Vec<Option<std::sync::mpsc::Sender<()>>>,
+}
+
+impl Site {
+    pub async fn start(run: Duration) -> Self {
+        Self::with(run, |text| text).await
+    }
+
+    /// A site whose settings are changed by `edit`.
+    pub async fn with(run: Duration, edit: impl Fn(String) -> String) -> Self {
+        let api: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+        let back: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+        let state = Arc::new(State::default());
+        let mut state_addrs = Vec::new();
+        for i in 0..3 {
+            state_addrs.push(state.start(i).await);
+        }
+        let names = (0..3).map(|i| (format!("heron-{i}"), api[i])).collect();
+        let cloud = Cloud::new(names, run);
+        let cloud_addr = cloud.start().await;
+        let texts = (0..3)
+            .map(|i| {
+                let seeds: String = (0..3)
+                    .filter(|j| *j != i)
+                    .map(|j| format!("[[seeds]]\nhost_name = \"heron-{j}\"\nendpoint = \"{}\"\n", back[j]))
+                    .collect();
+                let rest = support::SETTINGS.split("[services]").nth(1).expect("a table");
+                edit(format!(
+                    "host_name = \"heron-{i}\"\nzone = \"north\"\napi_addr = \"{}\"\nback = \"{}\"\n{seeds}[services]{}",
+                    api[i],
+                    back[i],
+                    rest.replace("127.0.0.1:4", &cloud_addr.to_string())
+                        .replace("127.0.0.1:5", &state_addrs[i].to_string()),
+                ))
+            })
+            .collect();
+        let mut site = Self {
+            state,
+            cloud,
+            api,
+            texts,
+            stops: vec![None, None, None],
+        };
+        for i in 0..3 {
+            site.boot(i);
+        }
+        site
+    }
+
+    /// Runs a controller on a thread of its own, as a process would.
+    pub fn boot(&mut self, i: usize) {
+        let platform = Platform::parse(&self.texts[i], "test").expect("settings");
+        let (tx, rx) = std::sync::mpsc::channel::<()>();
+        self.stops[i] = Some(tx);
+        std::thread::spawn(move || {
+            let rt = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            rt.block_on(async move {
+                tokio::spawn(async move {
+                    // A restart may find the port still closing.
+                    while leader::run(platform.clone(), Tuning::default()).await.is_err() {
+                        sleep(Duration::from_millis(50)).await;
+                    }
+                });
+                while rx.try_recv() == Err(std::sync::mpsc::TryRecvError::Empty) {
+                    sleep(Duration::from_millis(20)).await;
+                }
+            });
+        });
+    }
+
+    /// Ends a controller without a word.
+    pub fn kill(&mut self, i: usize) {
+        self.stops[i] = None;
+    }
+
+    pub fn job(&self, n: u32, tasks: u32) -> Value {
+        let mut v = serde_json::to_value(support::job(n, tasks, 2.0)).expect("json");
+        v["expected_s"] = json!(1.0);
+        v
+    }
+
+    /// Repeats a request until it is answered by something else than 503.
+    pub async fn insist(&self, method: &str, at: usize, path: &str, body: Option<Value>) -> (u16, Value) {
+        let began = Instant::now();
+        loop {
+            let r = ask(method, self.api[at], path, body.clone()).await;
+            if r.0 != 503 && r.0 != 0 {
+                return r;
+            }
+            assert!(began.elapsed() < LONG, "{method} {path} is never answered");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    pub async fn until(&self, at: usize, job: &str, standing: &str) -> Value {
+        let began = Instant::now();
+        loop {
+            let (status, v) = self.insist("GET", at, &format!("/v2/runs/{job}"), None).await;
+            assert_eq!(status, 200, "{job}: {v}");
+            if v["standing"] == standing {
+                return v;
+            }
+            assert!(began.elapsed() < LONG, "{job} is still {v}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+pub fn on_loopback<F: std::future::Future>(f: F) -> F::Output {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(f)
+}
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -35,6 +35,9 @@
     log: Vec<(u64, String, Option<Value>)>,
     next_hold: u64,
     down: bool,
+    /// Single keys that were read, and transactions that were carried out.
+    reads: u64,
+    carried_out: Vec<Transaction>,
     /// Controllers that alone are refused.
     refused: std::collections::BTreeSet<usize>,
 }
@@ -147,6 +150,24 @@
         }
     }
 
+    /// How often a single key was read.
+    pub fn reads(&self) -> u64 {
+        self.0.lock().reads
+    }
+
+    /// Late copies of all transactions that were carried out arrive; how many
+    /// are carried out once more.
+    pub fn repeat_all(&self) -> usize {
+        let all = self.0.lock().carried_out.clone();
+        all.iter().filter(|t| self.multi(t).0 == 200).count()
+    }
+
+    /// Keys and their revisions.
+    pub fn stamps(&self) -> BTreeMap<String, u64> {
+        let d = self.0.lock();
+        d.keys.iter().map(|(k, v)| (k.clone(), v.1)).collect()
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut Data) -> (u16, T)) -> Json
     where
         Value: From<T>,
@@ -168,6 +189,7 @@
     }
 
     fn get(&self, key: &str) -> Json {
+        self.0.lock().reads += 1;
         self.with(|d| match d.keys.get(key) {
             Some((v, stamp, _)) => (200, json!({"path": key, "v": v, "stamp": stamp})),
             None => (404, json!({"ledger": d.revision})),
@@ -225,6 +247,7 @@
                     }
                 }
             }
+            d.carried_out.push(t.clone());
             (200, json!({"ledger": rev}))
         })
     }
@@ -338,6 +361,11 @@
     /// Starts of each task, and whether any ran twice at a time.
     pub doubles: Mutex<Vec<TaskId>>,
     pub starts: Mutex<u32>,
+    /// Commands that were carried out, reports that were answered, releases.
+    carried_out: Mutex<Vec<(MachineId, Commands)>>,
+    reported: Mutex<Vec<Vec<u8>>>,
+    /// Commands on their way at once, at the most.
+    pub most_at_once: Mutex<(u32, u32)>,
 }
 
 impl Cloud {
@@ -350,6 +378,9 @@
             requests: Mutex::default(),
             doubles: Mutex::default(),
             starts: Mutex::default(),
+            carried_out: Mutex::default(),
+            reported: Mutex::default(),
+            most_at_once: Mutex::default(),
         })
     }
 
@@ -408,6 +439,32 @@
         (200, json!({"racks": names}))
     }
 
+    /// Late copies of all commands that were carried out arrive.
+    pub fn repeat_commands(&self) {
+        let machines = self.machines.lock().clone();
+        for (id, c) in self.carried_out.lock().clone() {
+            if let Some(m) = machines.iter().find(|m| m.lock().id == id) {
+                let mut m = m.lock();
+                if !m.gone && c.token >= m.token {
+                    m.token = c.token;
+                    c.commands.iter().for_each(|c| self.execute(&mut m, *c));
+                }
+            }
+        }
+    }
+
+    /// Reports that were answered, oldest first.
+    pub fn reported(&self) -> Vec<Vec<u8>> {
+        self.reported.lock().clone()
+    }
+
+    /// The machines that are there.
+    pub fn names(&self) -> Vec<String> {
+        let all = self.machines.lock();
+        let there = all.iter().map(|m| m.lock()).filter(|m| !m.gone);
+        there.map(|m| m.id.to_string()).collect()
+    }
+
     /// Boots a machine; its name.
     pub async fn boot(self: &Arc<Self>, zone: &str, spot: bool) -> String {
         let n = self.machines.lock().len();
@@ -428,7 +485,19 @@
             .and(warp::path!("commands"))
             .and(warp::body::json())
             .and(with)
-            .map(|b: Commands, (c, m): (Arc<Cloud>, Arc<Mutex<Machine>>)| answer(c.command(&m, &b)));
+            .then(
+                |b: Commands, (c, m): (Arc<Cloud>, Arc<Mutex<Machine>>)| async move {
+                    {
+                        let mut n = c.most_at_once.lock();
+                        n.0 += 1;
+                        n.1 = n.1.max(n.0);
+                    }
+                    sleep(Duration::from_millis(5)).await;
+                    let r = c.command(&m, &b);
+                    c.most_at_once.lock().0 -= 1;
+                    answer(r)
+                },
+            );
         let addr = serve(commands).await;
         machine.lock().addr = addr.to_string();
         self.machines.lock().push(machine.clone());
@@ -444,6 +513,7 @@
         let ok = b.token >= m.token && b.session == 1;
         if ok {
             m.token = b.token;
+            self.carried_out.lock().push((m.id.clone(), b.clone()));
             for c in &b.commands {
                 self.execute(&mut m, *c);
             }
@@ -523,15 +593,22 @@
                     hyper::Method::POST,
                     &to,
                     "/v1/report",
-                    Some(body),
+                    Some(body.clone()),
                     Duration::from_secs(2),
                 )
                 .await;
             match r {
                 Ok(r) if r.status == 200 => {
+                    self.reported.lock().push(body);
                     let reply: ReportReply = serde_json::from_slice(&r.body).expect("a reply");
                     let mut m = m.lock();
-                    m.token = m.token.max(reply.token);
+                    if reply.token < m.token {
+                        continue;
+                    }
+                    m.token = reply.token;
+                    for c in reply.commands {
+                        self.execute(&mut m, c);
+                    }
                 }
                 Ok(r) if r.status == 421 => {
                     let to = serde_json::from_slice::<Redirect>(&r.body)
