Connections whose other side is gone within a request are closed, too; no test by the clock

Cause, by reading: a machine that loses power in the middle of a report left a request that waits for its body for ever, and its socket with it. A request and its answer now have 10 s. The test says nothing, half a head, half a body, or nothing after an answer; each keeps its socket without the bound. The planner's test by elapsed time is one by counted work now.

--- a/src/api.rs
+++ b/src/api.rs
@@ -6,10 +6,11 @@
 
 use bytes::Bytes;
 use hyper::server::conn::http1;
+use hyper::service::{service_fn, Service};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::info;
 use warp::http::{HeaderValue, StatusCode};
 use warp::{Filter, Rejection, Reply as _};
@@ -20,25 +21,43 @@
 
 type Response = warp::http::Response<Bytes>;
 
-/// Least time after which a connection that says nothing is closed: a machine
-/// without power never closes its own.
-const QUIET: Duration = Duration::from_secs(30);
+/// How long a connection may take: a machine without power never closes its own.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// Between two requests.
+    pub quiet: Duration,
+    /// For one request and its answer.
+    pub request: Duration,
+}
+
+impl Patience {
+    /// Well above what users and workers need, who report and ask every few seconds.
+    pub fn new(report: Duration) -> Self {
+        Self {
+            quiet: Duration::from_secs(30).max(report * 4),
+            request: Duration::from_secs(10),
+        }
+    }
+}
 
 /// Serves users, workers and health checks for ever. Connections beyond the
 /// share of sockets wait in the listener's queue, where the load balancer and
 /// the workers pass them on to another controller.
-pub async fn serve(listener: TcpListener, node: Arc<Node>) {
+pub async fn serve(listener: TcpListener, node: Arc<Node>, patience: Patience) {
     let service = warp::service(routes(node.clone()));
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new())
-        .header_read_timeout(QUIET.max(node.platform.params.workers.report * 4));
+    http.timer(TokioTimer::new()).header_read_timeout(patience.quiet);
     loop {
         let permit = node.sockets.incoming().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                let connection =
-                    http.serve_connection(TokioIo::new(stream), TowerToHyperService::new(service.clone()));
+                let routes = TowerToHyperService::new(service.clone());
+                let in_time = service_fn(move |request| {
+                    let answer = timeout(patience.request, routes.call(request));
+                    async move { answer.await.map(|Ok(response)| response) }
+                });
+                let connection = http.serve_connection(TokioIo::new(stream), in_time);
                 tokio::spawn(async move {
                     // Resets and silence of the other side are ordinary.
                     let _ = connection.await;
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 use tracing::{debug, info};
 
+use crate::api::Patience;
 use crate::core::record::{LeaderRecord, LEADER};
 use crate::node::{Node, Role};
 use crate::pulse::BEAT;
@@ -43,7 +44,8 @@
     tokio::spawn(crate::peer::listen(back, node.clone()));
     tokio::spawn(campaign(node.clone()));
     tokio::spawn(beat(node.clone()));
-    crate::api::serve(api, node).await;
+    let patience = Patience::new(node.platform.params.workers.report);
+    crate::api::serve(api, node, patience).await;
     Ok(())
 }
 
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bitternfold::api::Patience;
 use bitternfold::http::{post_once, HttpError};
 use bitternfold::sockets::Sockets;
 use serde_json::json;
@@ -103,6 +104,34 @@
     });
 }
 
+#[test]
+fn a_connection_whose_other_side_is_gone_is_closed() {
+    // A machine that loses power closes nothing, before a request or within one.
+    // Hundreds of them a day would use up the sockets.
+    on_loopback(async {
+        let node = bitternfold::node::Node::new(support::platform(), Default::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let patience = Patience {
+            quiet: Duration::from_millis(200),
+            request: Duration::from_millis(200),
+        };
+        tokio::spawn(bitternfold::api::serve(listener, node, patience));
+        for said in [
+            "",
+            "GET /up HT",
+            "POST /v1/report HTTP/1.1\r\nhost: x\r\ncontent-length: 500\r\n\r\n{\"rack\":",
+            "GET /up HTTP/1.1\r\nhost: x\r\n\r\n",
+        ] {
+            let mut stream = TcpStream::connect(addr).await.expect("a connection");
+            stream.write_all(said.as_bytes()).await.expect("sent");
+            let mut answer = Vec::new();
+            let end = tokio::time::timeout(LONG, stream.read_to_end(&mut answer)).await;
+            assert!(end.is_ok(), "{said:?} keeps its socket");
+        }
+    });
+}
+
 #[test]
 fn the_shares_of_the_sockets_leave_something_for_each() {
     for limit in [bitternfold::sockets::LEAST, 256, 1024, 3312, 65_536] {
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -3,8 +3,7 @@
 mod support;
 
 use std::collections::HashMap;
-use std::time::Duration;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bitternfold::core::model::{admissible, type_allowed, SlotState, Unfit};
 use bitternfold::core::plan::Tier;
@@ -598,26 +597,6 @@
     assert_eq!(tasks_on(&m, "i-2").len(), 2);
 }
 
-#[test]
-fn a_hundred_thousand_tasks_are_planned_in_little_time() {
-    let now = start();
-    let mut m = model(1);
-    for i in 0..40 {
-        add(&mut m, &format!("i-{i}"), "large", "north", true, now);
-    }
-    for n in 0..20 {
-        m.add_job(record(job(n, MOST_TASKS, 1.0)), now);
-    }
-    let r = m.plan(now);
-    assert_eq!(r.in_order + r.backfilled, 40 * 32);
-    let began = std::time::Instant::now();
-    for i in 0..10 {
-        m.plan(now + Duration::from_millis(i));
-    }
-    // Ten rounds that find nothing; the bound is far above what they take.
-    assert!(began.elapsed() < secs(20));
-}
-
 #[test]
 fn under_load_those_come_first_who_can_still_be_served_as_told() {
     // One machine, room for one: by arrival the lost job would come first, and
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -312,3 +312,23 @@
         stored.len()
     );
 }
+
+#[test]
+fn waiting_tasks_cost_nothing_while_there_is_no_room() {
+    // Twenty arrays of as many tasks as a job may have, and of as many as there is
+    // room for: a round that finds no room costs the same.
+    let now = start();
+    let [few, many] = [70, MOST_TASKS].map(|tasks| {
+        let mut m = model(7);
+        for i in 0..40 {
+            m.heard(&report(&id(i), "large", "north", true, 7, 1), now);
+        }
+        for n in 0..20 {
+            m.add_job(record(job(n, tasks, 1.0)), now);
+        }
+        let r = m.plan(now);
+        assert_eq!(r.in_order + r.backfilled, 40 * 32);
+        work(|| m.plan(now + std::time::Duration::from_millis(1))).0
+    });
+    assert!(many <= few + 64, "{many} for {few}");
+}
