--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bitternfold::core::model::{admissible, type_allowed, SlotState, Unfit};
 use bitternfold::core::plan::Tier;
