--- a/src/settings.rs
+++ b/src/settings.rs
@@ -36,6 +36,16 @@
     Duration::try_from_secs_f64(s).map_err(|_| serde::de::Error::custom("not a duration in seconds"))
 }
 
+/// A whole number, even if it is written as 4000.0.
+fn count<'de, D: Deserializer<'de>>(d: D) -> Result<usize, D::Error> {
+    let n = f64::deserialize(d)?;
+    if (0.0..=1e9).contains(&n) && n.fract() == 0.0 {
+        Ok(n as usize)
+    } else {
+        Err(serde::de::Error::custom("not a whole number"))
+    }
+}
+
 fn millis<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
     let ms = f64::deserialize(d)?;
     Duration::try_from_secs_f64(ms / 1e3)
@@ -221,7 +231,7 @@
     /// Memory.
     pub memory_mb: f64,
     /// Open sockets of the process.
-    #[serde(rename = "fd_limit")]
+    #[serde(rename = "fd_limit", deserialize_with = "count")]
     pub sockets: usize,
 }
 
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -193,6 +193,14 @@
         assert!(e.contains(field), "{e} should name {field}");
         assert_eq!(e.lines().count(), 1, "one line: {e}");
     }
+    for written in ["3000", "3000.0"] {
+        let text = format!(
+            "{}\n[cluster.machine_limits]\nfd_limit = {written}\n",
+            support::SETTINGS
+        );
+        let p = Platform::parse(&text, "test").expect("either way");
+        assert_eq!(p.params.limits.sockets, 3000);
+    }
     // Optional tables may be missing.
     let text = support::SETTINGS.split("[cluster.state]").next().expect("text");
     assert!(Platform::parse(text, "test").is_ok());
