--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -45,20 +45,6 @@
     m
 }
 
-fn running(m: &Model, id: &MachineId) -> Vec<ReportedTask> {
-    m.machines[id]
-        .slots
-        .iter()
-        .map(|(t, s)| ReportedTask {
-            task: *t,
-            attempt: s.attempt,
-            state: TaskState::Running,
-            why: None,
-            saved: None,
-        })
-        .collect()
-}
-
 /// Each machine of a zone reports what it holds, and is answered.
 fn speak(m: &mut Model, zone: &str, seq: u64, now: Instant) {
     let ids: Vec<MachineId> = m
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -78,17 +78,7 @@
     for (to, _, c) in m.commands(now, usize::MAX) {
         let mut r = report(&to, "small", "north", false, 7, 2);
         r.token = c.token;
-        r.tasks = m.machines[&to]
-            .slots
-            .iter()
-            .map(|(t, s)| ReportedTask {
-                task: *t,
-                attempt: s.attempt,
-                state: TaskState::Running,
-                why: None,
-                saved: None,
-            })
-            .collect();
+        r.tasks = running(&m, &to);
         m.commanded(&to, Some(&r), now);
     }
     let running: usize = m.jobs.values().map(|j| j.running.len()).sum();
@@ -97,25 +87,10 @@
 }
 
 /// The report of a machine in which the first task has ended.
-fn ended(m: &Model, i: usize, seq: u64) -> Report {
+fn one_ended(m: &Model, i: usize, seq: u64) -> Report {
     let mut r = report(&id(i), "small", "north", false, 7, seq);
     r.token = m.machines[&id(i)].seen_token;
-    r.tasks = m.machines[&id(i)]
-        .slots
-        .iter()
-        .enumerate()
-        .map(|(n, (t, s))| ReportedTask {
-            task: *t,
-            attempt: s.attempt,
-            state: if n == 0 {
-                TaskState::Exited
-            } else {
-                TaskState::Running
-            },
-            why: (n == 0).then_some(Why::Done),
-            saved: None,
-        })
-        .collect();
+    r.tasks = ended(m, &id(i), 1);
     r
 }
 
@@ -124,7 +99,7 @@
     let now = start();
     let costs = [SMALL, LARGE].map(|machines| {
         let (mut m, _) = full(machines, now);
-        let r = ended(&m, machines / 2, 3);
+        let r = one_ended(&m, machines / 2, 3);
         let at = now + secs(1000);
         let (heard, _) = work(|| {
             m.heard(&r, at);
@@ -290,17 +265,7 @@
         for (to, _, c) in m.commands(at, 64) {
             let mut r = report(&to, "small", "north", false, 7, 3 + u64::from(turn) * 2);
             r.token = c.token;
-            r.tasks = m.machines[&to]
-                .slots
-                .iter()
-                .map(|(t, s)| ReportedTask {
-                    task: *t,
-                    attempt: s.attempt,
-                    state: TaskState::Exited,
-                    why: Some(Why::Done),
-                    saved: None,
-                })
-                .collect();
+            r.tasks = ended(&m, &to, usize::MAX);
             m.commanded(&to, Some(&r), at);
         }
         m.jobs.retain(|_, j| !j.complete());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,9 @@
 use bitternfold::core::record::JobRecord;
 use bitternfold::core::Model;
 use bitternfold::settings::{Platform, Tuning};
-use bitternfold::wire::{JobSpec, Kind, MachineType, Priority, Report};
+use bitternfold::wire::{
+    JobSpec, Kind, MachineId, MachineType, Priority, Report, ReportedTask, TaskState, Why,
+};
 
 pub const SETTINGS: &str = r#"
 host_name = "heron-0"
@@ -138,6 +140,30 @@
     }
 }
 
+/// What a machine would report of its slots: all run.
+pub fn running(m: &Model, id: &MachineId) -> Vec<ReportedTask> {
+    m.machines[id]
+        .slots
+        .iter()
+        .map(|(t, s)| ReportedTask {
+            task: *t,
+            attempt: s.attempt,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        })
+        .collect()
+}
+
+/// The same, the first so many of them done.
+pub fn ended(m: &Model, id: &MachineId, first: usize) -> Vec<ReportedTask> {
+    let mut tasks = running(m, id);
+    for t in tasks.iter_mut().take(first) {
+        (t.state, t.why) = (TaskState::Exited, Some(Why::Done));
+    }
+    tasks
+}
+
 pub fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
 }
