--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -735,21 +735,7 @@
     let (_, c) = m.command(&id, now).expect("starts");
     let mut r = report("i-1", "small", "north", false, 7, 2);
     r.token = c.token;
-    r.tasks = m.machines[&id]
-        .slots
-        .iter()
-        .map(|(t, s)| ReportedTask {
-            task: *t,
-            attempt: s.attempt,
-            state: if t.index == 0 {
-                TaskState::Exited
-            } else {
-                TaskState::Running
-            },
-            why: (t.index == 0).then_some(Why::Done),
-            saved: None,
-        })
-        .collect();
+    r.tasks = ended(&m, &id, 1);
     m.commanded(&id, Some(&r), now);
     let w = m.take_writes(now + secs(1));
     let (_, orders) = m.reply(&id, r.token, now).expect("an answer");
