The gap: responses that renew a lease stop what is cancelled; the bound in one place

Cause: a leader past its right renewed leases while its own stops had stopped, so that a task whose stop was lost or held lived on for grace and lease after the confirmation. Now every 200 to a report carries the stops of cancelled jobs that it lists, and a start that strayed is refused for good by a fresh token. What a leader may do and how long it may renew leases is one pure type (core::authority). A cancellation whose write meets a changed key is read and stored again: it was neither run nor cancelled before. A job that failed on several machines pauses for 32 s at most.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! [`model`] keeps what is known and what may be where, [`plan`] is PV-EASY,
 //! [`fleet`] decides rentals and returns, [`record`] is what survives a leader.
 
+pub mod authority;
 pub mod bits;
 pub mod fleet;
 pub mod model;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -1096,7 +1096,9 @@
                         // Failing on several machines: the job's own fault,
                         // most likely. Tried again with growing pauses.
                         if job.failed_on.len() >= 3 {
-                            let s = 1u64 << job.failures.min(6);
+                            // Well under the time that a fitting job may wait: it
+                            // may only have been unlucky.
+                            let s = 1u64 << job.failures.min(5);
                             job.pause_until = Some(now + Duration::from_secs(s));
                         }
                         let others = m.failed_jobs.len() >= 2;
@@ -1158,12 +1160,25 @@
             return None;
         }
         let term = self.term;
+        let patience = self.config.report;
         let (log, jobs) = (&self.log, &self.jobs);
         let m = self.machines.get_mut(machine)?;
         m.replied = Some(now);
         if !m.fenced(term) {
             return Some((m.fresh_token(term), Vec::new()));
         }
+        // A start on its way to a task that is to be stopped: where commands don't
+        // get through, it would wait out there for as long as this worker's lease
+        // is renewed here. A fresh token refuses it for good.
+        let astray = m.slots.values().any(|s| {
+            s.state == SlotState::Placed
+                && s.start_token > m.seen_token
+                && s.stop_at
+                    .is_some_and(|t| now.saturating_duration_since(t) > patience)
+        });
+        if astray {
+            return Some((m.fresh_token(term), Vec::new()));
+        }
         if m.commanding || m.forget_since.is_none() {
             return Some((m.seen_token, Vec::new()));
         }
@@ -1174,6 +1189,21 @@
         Some((m.fresh_token(term), orders))
     }
 
+    /// Stops for what a report lists of cancelled jobs. They go with every
+    /// response that renews a lease, also past the right to act, so that no
+    /// answer of one who knows of a cancellation lets its tasks live on. A stop
+    /// names an attempt and may be repeated; it is no evidence by itself.
+    pub fn stops(&self, r: &Report) -> Vec<Command> {
+        let live = r.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        live.filter(|t| self.jobs.get(&t.task.job).is_some_and(|j| j.cancelled))
+            .map(|t| Command::Stop {
+                task: t.task,
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect()
+    }
+
     /// Notes that a command may be due for a machine that none is on its way to.
     fn note_due(&mut self, id: &MachineId) {
         let due = |m: &Machine| !m.commanding && m.wants_command();
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -15,6 +15,7 @@
 use tracing::{debug, info};
 
 use crate::cloud::CloudError;
+use crate::core::authority::Authority;
 use crate::core::fleet::Wish;
 use crate::core::model::{Heard, Phase};
 use crate::core::record::{self, JobRecord};
@@ -56,15 +57,11 @@
     lease: u64,
     model: Mutex<Model>,
     writer: Arc<Writer>,
-    /// The right to act ends here.
-    right: Mutex<Instant>,
+    authority: Mutex<Authority>,
     loaded: AtomicBool,
     /// The state was loaded then, and not all workers known from it obey yet.
     load_ended: Mutex<Option<Instant>>,
     over: AtomicBool,
-    /// The process stood still until then, and its hold was not touched since:
-    /// another may lead by now.
-    woke: Mutex<Option<Instant>>,
     ended: Notify,
     kick: Notify,
     sent: Mutex<Sent>,
@@ -76,42 +73,31 @@
         let most = node.platform.params.state.txn_ops;
         let writer = Writer::new(node.store.clone(), record::LEADER, term, most);
         let model = Model::new(node.config.clone(), term);
-        let reign = Self {
+        let workers = &node.platform.params.workers;
+        Arc::new(Self {
             term,
             lease,
             model: Mutex::new(model),
             writer,
-            right: Mutex::new(sent),
+            authority: Mutex::new(Authority::new(
+                node.tuning.hold,
+                workers.lease,
+                workers.cancel,
+                sent,
+            )),
             loaded: AtomicBool::new(false),
             load_ended: Mutex::new(None),
             over: AtomicBool::new(false),
-            woke: Mutex::new(None),
             ended: Notify::new(),
             kick: Notify::new(),
             sent: Mutex::default(),
             node,
-        };
-        reign.renew(sent);
-        Arc::new(reign)
+        })
     }
 
-    /// A touch sent at `sent` succeeded.
-    fn renew(&self, sent: Instant) {
-        let life = self.node.tuning.hold;
-        // Drift of both clocks, and a margin.
-        let sure = life - life / 1000 - Duration::from_millis(50);
-        let mut right = self.right.lock();
-        *right = (*right).max(sent + sure);
-        let mut woke = self.woke.lock();
-        *woke = woke.filter(|w| sent <= *w);
-    }
-
-    /// The process has stood still. Its right holds by the clock as ever, but
-    /// the time after it, in which reports are still answered, is not used
-    /// before the state service has answered anew: a newer leader's workers
-    /// would be held here. And what it did not hear meanwhile is no silence.
+    /// The process has stood still: what it did not hear meanwhile is no silence.
     pub fn woke(&self, now: Instant) {
-        *self.woke.lock() = Some(now);
+        self.authority.lock().woke(now);
         self.model.lock().listen_from(now);
     }
 
@@ -120,19 +106,14 @@
         self.loaded.load(Ordering::Relaxed)
             && !self.over.load(Ordering::Relaxed)
             && !self.writer.is_over()
-            && Instant::now() < *self.right.lock()
+            && self.authority.lock().may_act(Instant::now())
     }
 
-    /// Whether reports may still be answered, without starts: so that leases
-    /// live through an outage. A successor may meanwhile promise that a
-    /// cancelled job is gone in time, hence the bound.
-    fn may_keep_leases(&self) -> bool {
-        let w = &self.node.platform.params.workers;
-        let grace = w.cancel.saturating_sub(w.lease + Duration::from_secs(4));
+    /// Whether reports may still be answered, see [`Authority::may_renew_leases`].
+    fn may_renew_leases(&self) -> bool {
         self.loaded.load(Ordering::Relaxed)
             && !self.over.load(Ordering::Relaxed)
-            && self.woke.lock().is_none()
-            && Instant::now() < *self.right.lock() + grace
+            && self.authority.lock().may_renew_leases(Instant::now())
     }
 
     /// Ends the term here.
@@ -200,7 +181,7 @@
             let sent = Instant::now();
             let wait = match self.node.store.touch_hold(self.lease, life / 3).await {
                 Ok(()) => {
-                    self.renew(sent);
+                    self.authority.lock().renewed(sent);
                     life / 5
                 }
                 Err(StoreError::NoHold) => {
@@ -717,13 +698,7 @@
         };
         self.kick.notify_one();
         if let Some(record) = record {
-            let value = serde_json::to_value(&record).unwrap_or(Value::Null);
-            let unit = Unit {
-                changes: vec![(record::job_key(id), Some(value))],
-                absent: Vec::new(),
-                urgent: true,
-            };
-            if self.writer.commit(unit).await.is_err() {
+            if !self.store_cancellation(id, &record).await {
                 return Reply::later("the cancellation can't be stored now");
             }
             info!(job = %id, "cancelled");
@@ -736,6 +711,37 @@
         }
     }
 
+    /// Stores a cancellation that the model has taken already: its tasks are
+    /// being stopped, so there is no way back but the end of the term. A key
+    /// that was not as expected is read again, or the job would be neither run
+    /// nor cancelled for as long as this term lasts.
+    async fn store_cancellation(&self, id: JobId, record: &JobRecord) -> bool {
+        let key = record::job_key(id);
+        let value = serde_json::to_value(record).unwrap_or(Value::Null);
+        loop {
+            let unit = Unit {
+                changes: vec![(key.clone(), Some(value.clone()))],
+                absent: Vec::new(),
+                urgent: true,
+            };
+            match self.writer.commit(unit).await {
+                Ok(()) => return true,
+                Err(CommitError::Deposed) => return false,
+                Err(CommitError::Conflict(_)) => match self.node.lookup(id).await {
+                    Ok(Lookup::Active(r, _)) if r.cancelled => return true,
+                    Ok(Lookup::Active(_, version)) => self.writer.know(&key, version),
+                    Ok(_) => {
+                        info!(job = %id, "cancelled here, yet not unfinished in the state service");
+                        self.end();
+                        return false;
+                    }
+                    Err(_) => {}
+                },
+            }
+            sleep(Duration::from_millis(150)).await;
+        }
+    }
+
     // ---- workers -------------------------------------------------------
 
     /// The controller that a machine is to report to.
@@ -761,7 +767,7 @@
 
     /// A report that reached the controller `via`.
     pub fn report(&self, body: &[u8], via: &str) -> Reply {
-        if !self.may_keep_leases() {
+        if !self.may_renew_leases() {
             return Reply::later("leadership is in doubt");
         }
         let r: Report = match serde_json::from_slice(body) {
@@ -770,7 +776,7 @@
         };
         let now = Instant::now();
         let may_act = self.may_act();
-        let (heard, answer) = {
+        let (heard, answer, stops) = {
             let mut m = self.model.lock();
             let heard = m.heard(&r, now);
             let known = m.machines.get(&r.machine);
@@ -786,7 +792,7 @@
                 }
                 Heard::Old | Heard::Taken => {}
             }
-            (heard, m.reply(&r.machine, r.token, now))
+            (heard, m.reply(&r.machine, r.token, now), m.stops(&r))
         };
         if heard == Heard::Taken {
             self.kick.notify_one();
@@ -804,7 +810,8 @@
         if let Some(to) = self.redirect(&r.machine, via, now) {
             return Node::elsewhere(&to);
         }
-        let commands = if may_act { commands } else { Vec::new() };
+        let mut commands = if may_act { commands } else { Vec::new() };
+        commands.extend(stops);
         Reply::json(200, &ReportReply { token, commands })
     }
 
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -4,6 +4,8 @@
 //! sent still arrives.
 
 mod support;
+#[path = "support/worker.rs"]
+mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -14,91 +16,10 @@
 use bitternfold::wire::*;
 use proptest::prelude::*;
 use support::*;
+use worker::{Worker, PATIENCE};
 
-/// A worker, as the protocol describes it.
-struct Worker {
-    id: MachineId,
-    spot: bool,
-    session: u64,
-    seq: u64,
-    token: u64,
-    tasks: BTreeMap<TaskId, (u64, TaskState, Option<Why>)>,
-    alive: bool,
-    /// Its reports arrive, but answers and commands don't reach it.
-    deaf: bool,
-    /// Its last answered report was sent then; its lease runs from there.
-    renewed: Instant,
-}
-
-/// The lease of the settings, and how long a worker waits for an answer.
+/// The lease of the settings.
 const LEASE: Duration = Duration::from_secs(20);
-const PATIENCE: Duration = Duration::from_secs(4);
-
-impl Worker {
-    fn report(&mut self) -> Report {
-        self.seq += 1;
-        Report {
-            machine: self.id.clone(),
-            addr: "127.0.0.1:9".into(),
-            machine_type: "small".into(),
-            zone: "north".into(),
-            spot: self.spot,
-            session: self.session,
-            seq: self.seq,
-            token: self.token,
-            notice_s: None,
-            tasks: self
-                .tasks
-                .iter()
-                .map(|(t, (a, s, w))| ReportedTask {
-                    task: *t,
-                    attempt: *a,
-                    state: *s,
-                    why: *w,
-                    saved: None,
-                })
-                .collect(),
-        }
-    }
-
-    /// Runs a command; the tasks that it started.
-    fn run(&mut self, c: &Commands) -> Vec<TaskId> {
-        if c.token < self.token || c.session != self.session {
-            return Vec::new();
-        }
-        self.token = c.token;
-        let mut started = Vec::new();
-        for c in &c.commands {
-            match *c {
-                Command::Start { task, attempt } => match self.tasks.get(&task) {
-                    Some((a, _, _)) if *a == attempt => {}
-                    Some((_, TaskState::Exited, _)) | None => {
-                        self.tasks.insert(task, (attempt, TaskState::Fetching, None));
-                        started.push(task);
-                    }
-                    Some(_) => {}
-                },
-                Command::Stop { task, attempt, .. } => {
-                    if let Some(t) = self.tasks.get_mut(&task) {
-                        if t.0 == attempt && t.1 != TaskState::Exited {
-                            *t = (attempt, TaskState::Exited, Some(Why::Stopped));
-                        }
-                    }
-                }
-                Command::Forget { task, attempt } => {
-                    if self
-                        .tasks
-                        .get(&task)
-                        .is_some_and(|t| t.0 == attempt && t.1 == TaskState::Exited)
-                    {
-                        self.tasks.remove(&task);
-                    }
-                }
-            }
-        }
-        started
-    }
-}
 
 #[derive(Debug, Clone)]
 enum Message {
@@ -187,17 +108,7 @@
     fn new() -> Self {
         let now = start();
         let workers = (0..4)
-            .map(|i| Worker {
-                id: format!("i-{i}").as_str().into(),
-                spot: i % 2 == 0,
-                session: 1,
-                seq: 0,
-                token: 0,
-                tasks: BTreeMap::new(),
-                alive: true,
-                deaf: false,
-                renewed: now,
-            })
+            .map(|i| Worker::new(&format!("i-{i}"), i % 2 == 0, now))
             .collect();
         Self {
             now,
@@ -224,12 +135,7 @@
     fn pass(&mut self, time: Duration) {
         self.now += time;
         for w in &mut self.workers {
-            if self.now.saturating_duration_since(w.renewed) > LEASE {
-                w.tasks.clear();
-                w.session += 1;
-                w.seq = 0;
-                w.renewed = self.now;
-            }
+            w.end_lease(self.now, LEASE);
         }
     }
 
@@ -569,17 +475,7 @@
                     // Names are never used again.
                     let used = self.workers.iter().any(|w| *w.id == *fresh);
                     if fresh.len() < 9 && !used {
-                        self.workers.push(Worker {
-                            id: fresh.as_str().into(),
-                            spot: false,
-                            session: 1,
-                            seq: 0,
-                            token: 0,
-                            tasks: BTreeMap::new(),
-                            alive: true,
-                            deaf: false,
-                            renewed: self.now,
-                        });
+                        self.workers.push(Worker::new(&fresh, false, self.now));
                     }
                 }
             }
--- /dev/null
+++ b/tests/support/worker.rs
@@ -0,0 +1,117 @@
+//! A worker, as the protocol describes it, without any I/O.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use bitternfold::wire::*;
+
+/// How long a worker waits for an answer.
+pub const PATIENCE: Duration = Duration::from_secs(4);
+
+/// A worker, as the protocol describes it.
+pub struct Worker {
+    pub id: MachineId,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub tasks: BTreeMap<TaskId, (u64, TaskState, Option<Why>)>,
+    pub alive: bool,
+    /// Its reports arrive, but answers and commands don't reach it.
+    pub deaf: bool,
+    /// Its last answered report was sent then; its lease runs from there.
+    pub renewed: Instant,
+}
+
+impl Worker {
+    /// A worker whose session begins now.
+    pub fn new(id: &str, spot: bool, now: Instant) -> Self {
+        Self {
+            id: id.into(),
+            spot,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            alive: true,
+            deaf: false,
+            renewed: now,
+        }
+    }
+
+    /// Kills and forgets all if the lease has run out.
+    pub fn end_lease(&mut self, now: Instant, lease: Duration) {
+        if now.saturating_duration_since(self.renewed) > lease {
+            self.tasks.clear();
+            self.session += 1;
+            self.seq = 0;
+            self.renewed = now;
+        }
+    }
+
+    /// Its next report.
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: "small".into(),
+            zone: "north".into(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|(t, (a, s, w))| ReportedTask {
+                    task: *t,
+                    attempt: *a,
+                    state: *s,
+                    why: *w,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// Runs a command; the tasks that it started.
+    pub fn run(&mut self, c: &Commands) -> Vec<TaskId> {
+        if c.token < self.token || c.session != self.session {
+            return Vec::new();
+        }
+        self.token = c.token;
+        let mut started = Vec::new();
+        for c in &c.commands {
+            match *c {
+                Command::Start { task, attempt } => match self.tasks.get(&task) {
+                    Some((a, _, _)) if *a == attempt => {}
+                    Some((_, TaskState::Exited, _)) | None => {
+                        self.tasks.insert(task, (attempt, TaskState::Fetching, None));
+                        started.push(task);
+                    }
+                    Some(_) => {}
+                },
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(t) = self.tasks.get_mut(&task) {
+                        if t.0 == attempt && t.1 != TaskState::Exited {
+                            *t = (attempt, TaskState::Exited, Some(Why::Stopped));
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    if self
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|t| t.0 == attempt && t.1 == TaskState::Exited)
+                    {
+                        self.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+        started
+    }
+}
