Bad jobs cordon no machine, unlucky ones aren't blamed, a cordon ends

Cause: two jobs that fail everywhere cordoned any machine on which both failed, and a job that failed on three sick machines was tried on one at a time for as long as its other tasks ran, beside free machines. Now a cordon takes failures of a job that is fine elsewhere or three jobs; a job with a task done, or one that has outrun the failed ones, isn't blamed; a cordoned machine that still runs something is tried again after 45 s.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -73,6 +73,7 @@
             return Vec::new();
         }
         self.clear_lapsed(now);
+        self.try_cordoned(now);
         self.leave_noticed(now);
         let mut wishes = Vec::new();
         let release = self.to_release(now);
@@ -256,7 +257,7 @@
                 Phase::Up if silent(m) && waits(m) => continue,
                 Phase::Up if silent(m) && !deaf => "silent",
                 Phase::Up if !cut && takes_none(m) => "takes no commands",
-                Phase::Up if m.cordoned && m.empty() => "failed or faulty",
+                Phase::Up if m.cordoned.is_some() && m.empty() => "failed or faulty",
                 Phase::Up if m.recall.is_some() && m.empty() => "spot notice",
                 Phase::Up => {
                     if m.slots.is_empty() && m.idle_since.is_some() && !silent(m) {
@@ -399,7 +400,7 @@
         let mut cpus_waiting = 0.0;
         for j in queue {
             let s = &j.spec;
-            let mut left = if j.failed_on.len() >= 3 {
+            let mut left = if self.suspect(j, now) {
                 1
             } else {
                 j.waiting.count()
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -318,7 +318,7 @@
     pub fn usable(&self, m: &Machine, now: Instant) -> bool {
         m.phase == Phase::Up
             && m.fenced(self.term)
-            && !m.cordoned
+            && m.cordoned.is_none()
             && !m.addr.is_empty()
             && m.full_until.is_none_or(|t| t <= now)
             // It may hang, or hear nothing of what it is told.
@@ -680,7 +680,10 @@
     /// of the others: then they are placed together.
     fn alike(&self, id: JobId) -> bool {
         self.model.jobs.get(&id).is_some_and(|j| {
-            j.spec.kind != Kind::Gang && !j.spec.one_zone && !j.spec.spread && j.failed_on.len() < 3
+            j.spec.kind != Kind::Gang
+                && !j.spec.one_zone
+                && !j.spec.spread
+                && !self.model.suspect(j, self.now)
         })
     }
 
@@ -802,8 +805,7 @@
         job.cancelled
             || job.broken_gang()
             || job.pause_until.is_some_and(|t| t > self.now)
-            // A job that failed on several machines is tried on one at a time.
-            || (job.failed_on.len() >= 3 && !job.places.is_empty())
+            || (!job.places.is_empty() && self.model.suspect(job, self.now))
             || !self.within_limit(&job.spec, tasks)
     }
 
