--- a/src/node.rs
+++ b/src/node.rs
@@ -121,8 +121,17 @@
         .as_millis() as u64
 }
 
+/// Whether a body can be a JSON object: a list of values in the order of the
+/// fields would be read as one, too.
+fn is_object(body: &[u8]) -> bool {
+    body.trim_ascii_start().starts_with(b"{")
+}
+
 /// The id in a submission, whatever else is wrong with it.
 fn id_in(body: &[u8]) -> Option<JobId> {
+    if !is_object(body) {
+        return None;
+    }
     #[derive(serde::Deserialize)]
     struct Only {
         #[serde(rename = "name_id")]
@@ -458,7 +467,14 @@
 
     /// Judges a submission: its job, or the answer.
     pub fn judge(&self, body: &[u8], types: &[MachineType]) -> Result<JobSpec, Reply> {
-        let spec: JobSpec = serde_json::from_slice(body).map_err(|e| Reply::error(400, &e.to_string()))?;
+        if !is_object(body) {
+            return Err(Reply::error(400, "not a JSON object"));
+        }
+        let mut json = serde_json::Deserializer::from_slice(body);
+        // The error names the field.
+        let spec: JobSpec =
+            serde_path_to_error::deserialize(&mut json).map_err(|e| Reply::error(400, &e.to_string()))?;
+        json.end().map_err(|e| Reply::error(400, &e.to_string()))?;
         spec.check()
             .map_err(|f| Reply::error(400, &format!("invalid field `{f}`")))?;
         if !self.config.teams.contains_key(&spec.team) {
