--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -44,6 +44,11 @@
         ok: bool,
         term: u64,
     },
+    /// A cancellation on its way to be stored.
+    Cancel {
+        id: JobId,
+        term: u64,
+    },
     /// The response to a report, with its token and orders.
     Reply {
         to: MachineId,
@@ -73,6 +78,15 @@
     Release(usize),
     /// Commands and answers reach so many machines no more, or again.
     Deaf(usize, bool),
+    /// Reports of so many machines arrive nowhere, or again.
+    Mute(usize, bool),
+    /// A job is called off at the very moment at which all tasks on a machine
+    /// end, whatever the leader knows of that.
+    CancelAtEnd(usize),
+    /// Leaders follow on each other, some messages between arrive.
+    Chain(u8),
+    /// All controllers are away for longer than a lease.
+    Away,
     /// The machine is back at once, with nothing on it.
     Reboot(usize, bool),
     /// A copy of a message is kept back, to arrive much later.
@@ -99,6 +113,7 @@
     copies: Vec<Message>,
     workers: Vec<Worker>,
     mail: Vec<Message>,
+    mute: BTreeSet<MachineId>,
     next_job: u32,
     submitted: Vec<JobId>,
     told: BTreeMap<JobId, Standing>,
@@ -121,6 +136,7 @@
             copies: Vec::new(),
             workers,
             mail: Vec::new(),
+            mute: BTreeSet::new(),
             next_job: 0,
             submitted: Vec::new(),
             told: BTreeMap::new(),
@@ -213,7 +229,8 @@
             }
             Message::Report(r, sent) => {
                 self.model.heard(&r, self.now);
-                if let Some((token, orders)) = self.model.reply(&r.machine, r.token, self.now) {
+                if let Some((token, mut orders)) = self.model.reply(&r.machine, r.token, self.now) {
+                    orders.extend(self.model.stops(&r));
                     self.mail.push(Message::Reply {
                         to: r.machine,
                         session: r.session,
@@ -246,6 +263,15 @@
                     assert!(started.is_empty(), "a response starts nothing");
                 }
             }
+            // Guarded by the leader's key; its user is told once it is stored.
+            Message::Cancel { id, term } if term == self.term => {
+                let Some(r) = self.jobs.get_mut(&id) else {
+                    panic!("{id} was finished while its cancellation was on its way");
+                };
+                r.cancelled = true;
+                self.model.cancel_stored(id);
+                self.tell(id, Standing::Cancelled);
+            }
             Message::Write { write, term } => {
                 // Guarded by the leader's key: an earlier leader's is refused.
                 let ok = term == self.term;
@@ -282,6 +308,7 @@
             // A transaction's conditions hold once at the most, and what its
             // sender makes of its answer, or of one given up, it makes once.
             Message::Reply { .. }
+            | Message::Cancel { .. }
             | Message::Write { .. }
             | Message::Wrote { .. }
             | Message::Answer { .. } => {}
@@ -344,6 +371,14 @@
         self.old = Some(std::mem::replace(&mut self.model, m));
     }
 
+    /// A user calls a job off: its tasks are stopped at once, its user is told
+    /// once that is stored.
+    fn cancel(&mut self, id: JobId) {
+        self.model.cancel(id, self.now);
+        let term = self.term;
+        self.mail.push(Message::Cancel { id, term });
+    }
+
     fn step(&mut self, op: Op) {
         let n = self.workers.len();
         match op {
@@ -366,17 +401,35 @@
                     .get(&id)
                     .is_some_and(|j| !j.complete() && !j.cancelled);
                 if open {
-                    self.model.cancel(id, self.now);
-                    if let Some(r) = self.jobs.get_mut(&id) {
-                        r.cancelled = true;
+                    self.cancel(id);
+                }
+            }
+            Op::CancelAtEnd(i) => {
+                let w = &mut self.workers[i % n];
+                let mut ended = Vec::new();
+                for (id, t) in &mut w.tasks {
+                    if t.1 == TaskState::Running {
+                        *t = (t.0, TaskState::Exited, Some(Why::Done));
+                        ended.push(id.job);
                     }
-                    self.model.cancel_stored(id);
-                    self.tell(id, Standing::Cancelled);
                 }
+                let r = w.report();
+                if w.alive && !self.mute.contains(&r.machine) {
+                    self.mail.push(Message::Report(r, self.now));
+                }
+                let open = |j: &JobId| {
+                    self.model
+                        .jobs
+                        .get(j)
+                        .is_some_and(|j| !j.complete() && !j.cancelled)
+                };
+                ended.retain(open);
+                ended.dedup();
+                ended.into_iter().for_each(|id| self.cancel(id));
             }
             Op::Report(i) => {
                 let w = &mut self.workers[i % n];
-                if w.alive {
+                if w.alive && !self.mute.contains(&w.id) {
                     let r = w.report();
                     self.mail.push(Message::Report(r, self.now));
                 }
@@ -434,6 +487,32 @@
                     w.deaf = deaf;
                 }
             }
+            Op::Mute(many, mute) => {
+                for w in self.workers.iter().take(many % n + 1) {
+                    if mute {
+                        self.mute.insert(w.id.clone());
+                    } else {
+                        self.mute.remove(&w.id);
+                    }
+                }
+            }
+            Op::Chain(leaders) => {
+                for i in 0..usize::from(leaders) {
+                    self.elect();
+                    self.round();
+                    self.pass(Duration::from_millis(1500));
+                    for k in 0..3 {
+                        if !self.mail.is_empty() {
+                            let m = self.mail.remove((i * 7 + k * 3) % self.mail.len());
+                            self.deliver(m);
+                        }
+                    }
+                }
+            }
+            Op::Away => {
+                self.pass(LEASE + secs(2));
+                self.elect();
+            }
             Op::Reboot(i, renewed) => {
                 let w = &mut self.workers[i % n];
                 w.tasks.clear();
@@ -455,11 +534,12 @@
                     let r = w.report();
                     old.heard(&r, self.now);
                     if let Some((token, _)) = old.reply(&r.machine, r.token, self.now) {
+                        let orders = old.stops(&r);
                         self.mail.push(Message::Reply {
                             to: r.machine,
                             session: r.session,
                             token,
-                            orders: Vec::new(),
+                            orders,
                             sent: self.now,
                         });
                     }
@@ -505,6 +585,10 @@
         1 => any::<usize>().prop_map(Op::Die),
         1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::Deaf(m, d)),
         1 => (any::<usize>(), any::<bool>()).prop_map(|(i, r)| Op::Reboot(i, r)),
+        1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::Mute(m, d)),
+        1 => any::<usize>().prop_map(Op::CancelAtEnd),
+        1 => (2..11u8).prop_map(Op::Chain),
+        1 => Just(Op::Away),
         2 => any::<usize>().prop_map(Op::Copy),
         2 => any::<usize>().prop_map(Op::Late),
         2 => any::<usize>().prop_map(Op::OldReport),
@@ -537,6 +621,7 @@
             }
         }
         w.step(Op::Deaf(usize::MAX - 1, false));
+        w.mute.clear();
         for x in &mut w.workers {
             x.deaf = false;
         }
