--- a/src/node.rs
+++ b/src/node.rs
@@ -14,7 +14,7 @@
 use crate::http::Http;
 use crate::leader::reign::Reign;
 use crate::peer::{Ask, Link, Reply};
-use crate::pulse::{Load, Pulse};
+use crate::pulse::Pulse;
 use crate::settings::{Platform, Tuning};
 use crate::sockets::Sockets;
 use crate::store::{Store, StoreError};
@@ -339,17 +339,9 @@
 
     // ---- users ---------------------------------------------------------
 
-    /// The load that this process is under.
-    fn load(&self) -> Load {
-        self.check_pulse();
-        self.pulse.load(Instant::now())
-    }
-
     /// A submission.
     pub async fn submit(&self, body: &[u8]) -> Reply {
-        if self.load() == Load::Swamped {
-            return Reply::later("too much to do");
-        }
+        self.check_pulse();
         if let Some(reign) = self.reign() {
             return reign.submit(body).await;
         }
@@ -367,7 +359,8 @@
 
     /// A poll.
     pub async fn poll(&self, id: JobId) -> Reply {
-        if self.load() > Load::Fair {
+        self.check_pulse();
+        if self.pulse.strained(Instant::now()) {
             return match self.finals.lock().view(id) {
                 Some(view) => Reply::json(200, &view),
                 None => Reply::later("too much to do"),
