--- /dev/null
+++ b/tests/meetings.rs
@@ -0,0 +1,111 @@
+//! Two troubles at a time, through the real endpoints on stand-ins.
+
+#[path = "support/site.rs"]
+mod site;
+#[path = "support/standins.rs"]
+mod standins;
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use site::{on_loopback, Site, LONG};
+use standins::ask;
+use tokio::time::sleep;
+
+pub use support::types;
+
+#[test]
+fn a_leader_past_its_authority_still_stops_what_is_cancelled() {
+    // The stops are lost, the state service is out, the authority ends, and the
+    // workers go on reporting: the answers that renew their leases have to stop
+    // the cancelled tasks, or they live on for grace and lease.
+    on_loopback(async {
+        let site = Site::start(Duration::from_secs(600)).await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 4))).await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(2, 3))).await;
+        let began = Instant::now();
+        while site.cloud.running() < 7 {
+            assert!(began.elapsed() < LONG, "{} run", site.cloud.running());
+            sleep(Duration::from_millis(50)).await;
+        }
+        site.cloud.no_commands.store(true, Ordering::Relaxed);
+        site.cloud.mute.store(true, Ordering::Relaxed);
+        let (status, v) = site.insist("POST", 0, "/v2/runs/job-000001/cancel", None).await;
+        assert_eq!((status, v["standing"].as_str()), (200, Some("cancelled")));
+        site.state.outage(true);
+        let began = Instant::now();
+        while ask("GET", site.api[0], "/v2/runs/job-000002", None).await.0 == 200 {
+            assert!(began.elapsed() < LONG, "the authority doesn't end");
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(site.cloud.running(), 7, "nothing has reached them yet");
+        site.cloud.mute.store(false, Ordering::Relaxed);
+        while site.cloud.running() > 3 {
+            assert!(began.elapsed() < LONG, "{} run on", site.cloud.running());
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(site.cloud.running(), 3, "the other job runs on");
+    });
+}
+
+#[test]
+fn transactions_that_are_carried_out_late_change_nothing_that_was_told() {
+    // Every other transaction gets no answer and applies 2.5 s later, after its
+    // repetition and after newer ones: acceptances by leader and followers,
+    // cancellations, the log, final states.
+    on_loopback(async {
+        let site = Site::start(Duration::from_millis(400)).await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 2))).await;
+        site.until(0, "job-000001", "done").await;
+        site.state.late_writes(Some(Duration::from_millis(2500)));
+        for n in 2..8 {
+            let (status, v) = site
+                .insist("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 3)))
+                .await;
+            assert!([200, 201].contains(&status), "{v}");
+            if n % 3 == 0 {
+                let path = format!("/v2/runs/job-{n:06}/cancel");
+                let (status, v) = site.insist("POST", n as usize % 2, &path, None).await;
+                assert_eq!(status, 200, "{v}");
+            }
+        }
+        let mut last = Vec::new();
+        for n in 2..8u32 {
+            let id = format!("job-{n:06}");
+            let began = Instant::now();
+            let v = loop {
+                let (status, v) = site.insist("GET", 1, &format!("/v2/runs/{id}"), None).await;
+                assert_eq!(status, 200, "{id} is known: {v}");
+                if ["done", "cancelled"].contains(&v["standing"].as_str().unwrap_or_default()) {
+                    break v;
+                }
+                assert!(began.elapsed() < LONG, "{id} is still {v}");
+                sleep(Duration::from_millis(100)).await;
+            };
+            assert!(n % 3 == 0 || v["standing"] == "done", "{v}");
+            last.push((id, v));
+        }
+        site.state.late_writes(None);
+        // All that is late has arrived, and a new leader reads what is left of it.
+        sleep(Duration::from_millis(3000)).await;
+        let (failed, applied) = site.state.late_outcomes();
+        assert!(
+            failed > 0,
+            "{failed} late ones met their guards, {applied} applied"
+        );
+        site.state.end_holds();
+        for at in 0..3 {
+            for (id, told) in &last {
+                let (status, v) = site.insist("GET", at, &format!("/v2/runs/{id}"), None).await;
+                assert_eq!((status, &v["standing"]), (200, &told["standing"]), "{id} at {at}");
+            }
+        }
+        assert!(site.cloud.doubles.lock().is_empty());
+        let began = Instant::now();
+        while site.cloud.running() > 0 {
+            assert!(began.elapsed() < LONG, "nothing of it runs on");
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -703,6 +703,41 @@
     );
 }
 
+#[test]
+fn a_start_that_strayed_is_refused_for_good_once_its_job_is_cancelled() {
+    // Commands to the machine get no answers, its reports arrive. While they are
+    // answered its session lives, and the start would be taken whenever it comes.
+    let now = start();
+    let mut m = model(7);
+    let id = MachineId::from("i-1");
+    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    let rec = record(job(1, 1, 4.0));
+    let job = rec.spec.id;
+    m.add_job(rec, now);
+    m.plan(now);
+    m.take_writes(now).iter().for_each(|w| m.written(w, true, now));
+    let (_, c) = m.command(&id, now).expect("the start");
+    m.commanded(&id, None, now + secs(1));
+    m.cancel(job, now + secs(1));
+    let mut r = report("i-1", "small", "north", false, 7, 2);
+    let soon = m.reply(&id, r.token, now + secs(2)).expect("an answer");
+    assert!(soon.0 < c.token, "its stop may yet get through");
+    let (token, _) = m.reply(&id, r.token, now + secs(9)).expect("an answer");
+    assert!(token > c.token, "the start is refused from now on");
+    (r.token, r.seq) = (token, 3);
+    m.heard(&r, now + secs(9));
+    assert!(m.machines[&id].slots.is_empty(), "and that settles its place");
+    // A task that is there is stopped by the answer itself.
+    r.tasks = vec![ReportedTask {
+        task: TaskId { job, index: 0 },
+        attempt: 5,
+        state: TaskState::Running,
+        why: None,
+        saved: None,
+    }];
+    assert!(matches!(m.stops(&r)[..], [Command::Stop { attempt: 5, .. }]));
+}
+
 #[test]
 fn an_outcome_is_stored_before_the_worker_forgets_it() {
     let now = start();
