--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -357,6 +357,34 @@
         assert!(cpus <= 40.0, "red uses {cpus} CPUs");
     }
 
+    /// Jobs with a task that is nowhere, though some machine has room for it and
+    /// its team is under its limit.
+    fn waiting_beside_room(&self) -> BTreeSet<JobId> {
+        let live = |w: &Worker| -> Vec<TaskId> {
+            let t = w.tasks.iter().filter(|t| t.1 .1 != TaskState::Exited);
+            t.map(|t| *t.0).collect()
+        };
+        let cpus = |t: &TaskId| self.jobs.get(&t.job).map_or(0.0, |r| r.spec.cpus);
+        let there: Vec<_> = self.workers.iter().filter(|w| w.alive).collect();
+        let most_free = there
+            .iter()
+            .map(|w| 8.0 - live(w).iter().map(cpus).sum::<f64>())
+            .fold(0.0, f64::max);
+        let all: Vec<TaskId> = there.iter().flat_map(|w| live(w)).collect();
+        let red = |t: &&TaskId| self.jobs.get(&t.job).is_some_and(|r| r.spec.team == "red");
+        let red_uses: f64 = all.iter().filter(red).map(cpus).sum();
+        let waits = |r: &&JobRecord| {
+            let s = &r.spec;
+            let here = all.iter().filter(|t| t.job == s.id).count() as u32;
+            let done = self.model.jobs.get(&s.id).map_or(s.tasks, |j| j.done.count());
+            !r.cancelled
+                && here + done < s.tasks
+                && s.cpus <= most_free
+                && (s.team != "red" || red_uses + s.cpus <= 40.0)
+        };
+        self.jobs.values().filter(waits).map(|r| r.spec.id).collect()
+    }
+
     /// A new leader reads what is stored; the old one's mail stays on its way.
     fn elect(&mut self) {
         self.term += 1;
@@ -611,7 +639,8 @@
         }
     }
 
-    /// Once the trouble ends, every job that isn't cancelled gets done.
+    /// Once the trouble ends, every job that isn't cancelled gets done, and none
+    /// waits for long while a machine that fits has room.
     #[test]
     fn all_work_is_done_in_the_end(ops in proptest::collection::vec(any_op(), 20..200)) {
         let mut w = World::new();
@@ -625,6 +654,7 @@
         for x in &mut w.workers {
             x.deaf = false;
         }
+        let mut since = BTreeMap::new();
         for i in 0..4000usize {
             let op = match i % 8 {
                 0 => Op::Report(i / 8),
@@ -639,6 +669,12 @@
                 w.model.released(&id, w.now);
             }
             w.step(op);
+            let waiting = w.waiting_beside_room();
+            since.retain(|id, _| waiting.contains(id));
+            for id in waiting {
+                let t = *since.entry(id).or_insert(w.now);
+                prop_assert!(w.now - t <= secs(90), "{id} waits for {:?} beside room", w.now - t);
+            }
         }
         let open: BTreeSet<_> = w.jobs.keys().collect();
         prop_assert!(open.is_empty(), "left over: {:?}, mail {}", open, w.mail.len());
