Answers from memory are confirmed by a renewal that began later

A process may stand still together with its clocks: by its own time it leads on, and it would tell users what is older than another leader has told since. Questions share renewals, up to a tenth of the state service's requests.

--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -3,13 +3,13 @@
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use serde_json::Value;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info};
@@ -34,6 +34,11 @@
 /// touch of the hold must not wait behind them.
 const PROBES: usize = 64;
 
+/// Share of the state service's requests that may go into confirming answers.
+const CONFIRMING: f64 = 0.1;
+/// How long an answer may wait to be confirmed.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(500);
+
 /// How long a user's change may take to be stored.
 const STORED_WITHIN: Duration = Duration::from_millis(2500);
 
@@ -58,6 +63,11 @@
     model: Mutex<Model>,
     writer: Arc<Writer>,
     authority: Mutex<Authority>,
+    /// Renewals of the lease begun so far, and the latest that ended, with its success.
+    renewals: AtomicU64,
+    renewed: watch::Sender<(u64, bool)>,
+    /// Somebody waits for a renewal.
+    wanted: Notify,
     loaded: AtomicBool,
     /// The state was loaded then, and not all workers known from it obey yet.
     load_ended: Mutex<Option<Instant>>,
@@ -85,6 +95,9 @@
                 workers.cancel,
                 sent,
             )),
+            renewals: AtomicU64::new(0),
+            renewed: watch::Sender::new((0, false)),
+            wanted: Notify::new(),
             loaded: AtomicBool::new(false),
             load_ended: Mutex::new(None),
             over: AtomicBool::new(false),
@@ -177,11 +190,14 @@
 
     async fn keep_hold(self: Arc<Self>) {
         let life = self.node.tuning.hold;
+        let spacing = Duration::from_secs_f64(1.0 / (self.node.platform.params.state.rps * CONFIRMING));
         loop {
             let sent = Instant::now();
+            let number = self.renewals.fetch_add(1, Ordering::Relaxed) + 1;
             let wait = match self.node.store.touch_hold(self.lease, life / 3).await {
                 Ok(()) => {
                     self.authority.lock().renewed(sent);
+                    self.renewed.send_replace((number, true));
                     life / 5
                 }
                 Err(StoreError::NoHold) => {
@@ -190,13 +206,29 @@
                 }
                 Err(e) => {
                     debug!(error = %e, "touch failed");
+                    self.renewed.send_replace((number, false));
                     life / 15
                 }
             };
-            sleep(wait).await;
+            // Sooner if somebody waits for it, within a share of the requests.
+            let _ = timeout(wait, self.wanted.notified()).await;
+            sleep(spacing.min(wait).saturating_sub(sent.elapsed())).await;
         }
     }
 
+    /// Whether this one still led after the call: a renewal that began later has
+    /// succeeded. A process may stand still together with its clocks, and then
+    /// no time tells that what it knows is old; a user who has been told of a
+    /// newer state by another leader must not be told of an older one.
+    async fn confirm(&self) -> bool {
+        let before = self.renewals.load(Ordering::Relaxed);
+        let mut renewed = self.renewed.subscribe();
+        self.wanted.notify_one();
+        let later = renewed.wait_for(|r| r.0 > before);
+        let done = timeout(CONFIRMED_WITHIN, later).await;
+        done.is_ok_and(|r| r.is_ok_and(|r| r.1))
+    }
+
     // ---- takeover ------------------------------------------------------
 
     async fn load(&self) -> Result<(), StoreError> {
@@ -565,7 +597,7 @@
             Ok(id) => id,
             Err(r) => return r,
         };
-        if let Some(r) = self.known(id) {
+        if let Some(r) = self.known_for_sure(id).await {
             return r;
         }
         let types = self.node.types.lock().clone();
@@ -627,6 +659,19 @@
         Some(Reply::json(200, &view))
     }
 
+    /// The same, if it can't be older than what another leader has told since:
+    /// final states never are.
+    async fn known_for_sure(&self, id: JobId) -> Option<Reply> {
+        if let Some(view) = self.node.finals.lock().view(id) {
+            return Some(Reply::json(200, &view));
+        }
+        let reply = self.known(id)?;
+        if reply.status == 200 && !self.confirm().await {
+            return Some(Reply::later("leadership can't be confirmed now"));
+        }
+        Some(reply)
+    }
+
     async fn unless_known(&self, id: JobId, otherwise: Reply) -> Reply {
         match self.node.lookup(id).await {
             Ok(Lookup::Absent) => otherwise,
@@ -642,7 +687,7 @@
 
     /// A poll.
     pub async fn poll(&self, id: JobId) -> Reply {
-        match self.known(id) {
+        match self.known_for_sure(id).await {
             Some(r) => r,
             None => self.unless_known(id, Reply::error(404, "no such job")).await,
         }
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -109,3 +109,29 @@
         }
     });
 }
+
+#[test]
+fn a_leader_that_cannot_confirm_its_lead_tells_nothing_from_memory() {
+    // It may have stood still together with its clocks: by its own time it leads
+    // on, while another has told a user that the job is cancelled or done.
+    on_loopback(async {
+        let site = Site::start(Duration::from_secs(600)).await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 2))).await;
+        site.until(0, "job-000001", "running").await;
+        let leader = site.state.leader().expect("a leader");
+        let at: usize = leader.trim_start_matches("heron-").parse().expect("a number");
+        for repeat in [false, true] {
+            let again = repeat.then(|| site.job(1, 2));
+            let method = if repeat { "POST" } else { "GET" };
+            let path = if repeat { "/v2/runs" } else { "/v2/runs/job-000001" };
+            assert_eq!(site.insist(method, at, path, again.clone()).await.0, 200);
+            site.state.refuse(at, true);
+            let (status, v) = ask(method, site.api[at], path, again).await;
+            site.state.refuse(at, false);
+            assert!(
+                status == 503 || site.state.leader() != Some(leader.clone()),
+                "{status} {v}"
+            );
+        }
+    });
+}
