--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -1,9 +1,9 @@
 //! Election, term and the right to act.
 //!
-//! A candidate opens a hold and puts the leader's key attached to it, guarded
+//! A candidate opens a lease and puts the leader's key attached to it, guarded
 //! by the key's absence. The revision of that put is the term: it only grows,
 //! though the key comes and goes. The leader's right ends, by its own steady
-//! clock, one hold's life after its last successful touch was sent.
+//! clock, one life of the lease after its last successful renewal was sent.
 
 pub mod reign;
 
@@ -112,12 +112,12 @@
 
 /// Stands for election, and leads if elected.
 async fn stand(node: &Arc<Node>, version: u64) {
-    let hold = node.tuning.hold;
+    let life = node.tuning.leader_lease;
     let sent = Instant::now();
-    let lease = match node.store.open_hold(hold).await {
+    let lease = match node.store.grant_lease(life).await {
         Ok(l) => l,
         Err(e) => {
-            debug!(error = %e, "can't open a hold");
+            debug!(error = %e, "no lease granted");
             return sleep(Duration::from_millis(200)).await;
         }
     };
@@ -144,13 +144,13 @@
         Err(StoreError::Unanswered) => None,
         Err(e) => {
             debug!(error = %e, "not elected");
-            let _ = node.store.end_hold(lease).await;
+            let _ = node.store.revoke_lease(lease).await;
             return sleep(Duration::from_millis(100)).await;
         }
     };
     if term.is_none() {
         // It may have applied, or still may: the key tells. A late copy puts
-        // a key of ours attached to a hold that ends soon.
+        // a key of ours attached to a lease that ends soon.
         if let Ok(Ok(item)) = node.store.get(LEADER).await {
             if record_of(&item).as_ref() == Some(&record) && item.version > version {
                 term = Some(item.version);
@@ -158,7 +158,7 @@
         }
     }
     let Some(term) = term else {
-        let _ = node.store.end_hold(lease).await;
+        let _ = node.store.revoke_lease(lease).await;
         return sleep(Duration::from_millis(100)).await;
     };
     info!(term, "elected");
--- a/src/leader/reign.rs
+++ b/src/leader/reign.rs
@@ -31,7 +31,7 @@
 const HEAL_PAUSE: Duration = Duration::from_secs(15);
 /// Machines without other orders that are sent a command in one round at the
 /// most, to learn what is on them: a new leader has to ask them all, and its
-/// touch of the hold must not wait behind them.
+/// renewal of the lease must not wait behind them.
 const PROBES: usize = 64;
 
 /// Share of the state service's requests that may go into confirming answers.
@@ -90,7 +90,7 @@
             model: Mutex::new(model),
             writer,
             authority: Mutex::new(Authority::new(
-                node.tuning.hold,
+                node.tuning.leader_lease,
                 workers.lease,
                 workers.cancel,
                 sent,
@@ -139,7 +139,7 @@
     /// Leads until the term is over.
     pub async fn lead(self: Arc<Self>) {
         let mut tasks = JoinSet::new();
-        tasks.spawn(self.clone().keep_hold());
+        tasks.spawn(self.clone().keep_lease());
         tasks.spawn(self.writer.clone().run());
         let loading = self.clone();
         let run = async {
@@ -184,28 +184,28 @@
         let node = self.node.clone();
         let lease = self.lease;
         tokio::spawn(async move {
-            let _ = node.store.end_hold(lease).await;
+            let _ = node.store.revoke_lease(lease).await;
         });
     }
 
-    async fn keep_hold(self: Arc<Self>) {
-        let life = self.node.tuning.hold;
+    async fn keep_lease(self: Arc<Self>) {
+        let life = self.node.tuning.leader_lease;
         let spacing = Duration::from_secs_f64(1.0 / (self.node.platform.params.state.rps * CONFIRMING));
         loop {
             let sent = Instant::now();
             let number = self.renewals.fetch_add(1, Ordering::Relaxed) + 1;
-            let wait = match self.node.store.touch_hold(self.lease, life / 3).await {
+            let wait = match self.node.store.renew_lease(self.lease, life / 3).await {
                 Ok(()) => {
                     self.authority.lock().renewed(sent);
                     self.renewed.send_replace((number, true));
                     life / 5
                 }
-                Err(StoreError::NoHold) => {
-                    info!(term = self.term, "the hold is over");
+                Err(StoreError::NoLease) => {
+                    info!(term = self.term, "the lease is over");
                     return self.end();
                 }
                 Err(e) => {
-                    debug!(error = %e, "touch failed");
+                    debug!(error = %e, "renewal failed");
                     self.renewed.send_replace((number, false));
                     life / 15
                 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -344,8 +344,9 @@
 /// Operators' own settings, with defaults that suit any deployment.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tuning {
-    /// `leader.hold_ms`: life of the leader's hold at the state service.
-    pub hold: Duration,
+    /// `leader.lease_ms` (earlier: `leader.hold_ms`): life of the leader's lease at
+    /// the state service.
+    pub leader_lease: Duration,
     /// `plan.pause_ms`: least time between two planning rounds.
     pub plan_pause: Duration,
     /// `fleet.idle_s`: an idle machine beyond the warm room is returned after this.
@@ -364,7 +365,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            hold: Duration::from_millis(2000),
+            leader_lease: Duration::from_millis(2000),
             plan_pause: Duration::from_millis(50),
             idle: Duration::from_secs(90),
             silent: None,
@@ -403,7 +404,9 @@
                     .ok_or_else(|| fail(key, format!("must be a number from {lo} to {hi}")))
             };
             match key.as_str() {
-                "leader.hold_ms" => t.hold = Duration::from_secs_f64(number(500.0, 60_000.0)? / 1e3),
+                "leader.lease_ms" | "leader.hold_ms" => {
+                    t.leader_lease = Duration::from_secs_f64(number(500.0, 60_000.0)? / 1e3)
+                }
                 "plan.pause_ms" => t.plan_pause = Duration::from_secs_f64(number(1.0, 5_000.0)? / 1e3),
                 "fleet.idle_s" => t.idle = Duration::from_secs_f64(number(0.0, 86_400.0)?),
                 "fleet.silent_s" => t.silent = Some(Duration::from_secs_f64(number(1.0, 600.0)?)),
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,4 +1,4 @@
-//! Client of the state service: guarded transactions, holds, watches, a rate
+//! client of the state service: guarded transactions, leases, watches, a rate
 //! budget, and the leader's group commit.
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -13,7 +13,7 @@
 use tracing::{debug, info};
 
 use crate::http::{Http, HttpError, Response};
-use crate::wire::{Change, Guard, Hold, Item, Listing, Outcome, Transaction, Watched};
+use crate::wire::{Change, Guard, Item, LeaseGrant, Listing, Outcome, Transaction, Watched};
 
 /// Why the state service did not do it.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -27,9 +27,9 @@
     /// Conditions that did not hold.
     #[error("conditions failed: {0:?}")]
     Conflict(Vec<String>),
-    /// The hold is over.
-    #[error("no such hold")]
-    NoHold,
+    /// The lease is over.
+    #[error("no such lease")]
+    NoLease,
     /// The watched revision is too old.
     #[error("revision too old")]
     TooOld,
@@ -277,24 +277,24 @@
         match r.status {
             200 => Ok(parse::<Outcome>(&r)?.revision),
             409 => Err(StoreError::Conflict(parse::<Outcome>(&r)?.failed)),
-            400 if r.body.windows(7).any(|w| w == b"no such") => Err(StoreError::NoHold),
+            400 if r.body.windows(7).any(|w| w == b"no such") => Err(StoreError::NoLease),
             s => Err(refusal(s)),
         }
     }
 
-    /// Opens a hold.
-    pub async fn open_hold(&self, life: Duration) -> Result<u64, StoreError> {
+    /// Grants a lease.
+    pub async fn grant_lease(&self, life: Duration) -> Result<u64, StoreError> {
         self.requests.pass(1.0).await;
         let body = format!("{{\"life_ms\":{}}}", life.as_millis()).into_bytes();
         let r = self.call(Method::POST, "/holds", Some(body), PATIENCE).await?;
         match r.status {
-            200 => Ok(parse::<Hold>(&r)?.lease),
+            200 => Ok(parse::<LeaseGrant>(&r)?.lease),
             s => Err(refusal(s)),
         }
     }
 
-    /// Renews a hold. Not paced: it must not wait behind other requests.
-    pub async fn touch_hold(&self, lease: u64, timeout: Duration) -> Result<(), StoreError> {
+    /// Renews a lease. Not paced: it must not wait behind other requests.
+    pub async fn renew_lease(&self, lease: u64, timeout: Duration) -> Result<(), StoreError> {
         self.requests.take(1.0, Instant::now());
         let r = self
             .call(
@@ -306,13 +306,13 @@
             .await?;
         match r.status {
             200 => Ok(()),
-            404 => Err(StoreError::NoHold),
+            404 => Err(StoreError::NoLease),
             s => Err(refusal(s)),
         }
     }
 
-    /// Ends a hold.
-    pub async fn end_hold(&self, lease: u64) -> Result<(), StoreError> {
+    /// Ends a lease at once.
+    pub async fn revoke_lease(&self, lease: u64) -> Result<(), StoreError> {
         let r = self
             .call(Method::DELETE, &format!("/holds/{lease}"), None, PATIENCE)
             .await?;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -632,7 +632,7 @@
         /// Its value.
         #[serde(rename = "v")]
         value: serde_json::Value,
-        /// The hold it is attached to.
+        /// The lease it is attached to.
         #[serde(rename = "tenancy", skip_serializing_if = "Option::is_none", default)]
         lease: Option<u64>,
     },
@@ -678,7 +678,7 @@
 
 /// Response of `POST /holds`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Hold {
+pub struct LeaseGrant {
     /// The lease's number.
     #[serde(rename = "tenancy")]
     pub lease: u64,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -195,7 +195,7 @@
 
 #[test]
 fn a_pause_of_this_process_is_no_silence_of_others() {
-    // A controller that stood still has heard nobody; its hold may have lived on,
+    // A controller that stood still has heard nobody; its lease may have lived on,
     // as in an outage. To release all machines for that would end all work.
     let now = start();
     let mut m = cluster(5, now);
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -208,8 +208,11 @@
 
 #[test]
 fn properties_are_checked() {
-    let t = Tuning::parse(b"# ours\nleader.hold_ms = 2500\nfleet.warm: 0.5\n", "test").expect("good");
-    assert_eq!((t.hold.as_millis(), t.warm), (2500, 0.5));
+    for key in ["leader.lease_ms", "leader.hold_ms"] {
+        let text = format!("# ours\n{key} = 2500\nfleet.warm: 0.5\n");
+        let t = Tuning::parse(text.as_bytes(), "test").expect("good");
+        assert_eq!((t.leader_lease.as_millis(), t.warm), (2500, 0.5), "{key}");
+    }
     for (text, key) in [
         ("leader.hold_ms=soon", "leader.hold_ms"),
         ("fleet.warm=-1", "fleet.warm"),
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -94,7 +94,7 @@
             failed > 0,
             "{failed} late ones met their guards, {applied} applied"
         );
-        site.state.end_holds();
+        site.state.end_leases();
         for at in 0..3 {
             for (id, told) in &last {
                 let (status, v) = site.insist("GET", at, &format!("/v2/runs/{id}"), None).await;
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -242,7 +242,7 @@
             sleep(Duration::from_millis(100)).await;
             (0..3).for_each(|i| site.boot(i));
             sleep(Duration::from_millis(300 * (round + 1))).await;
-            site.state.end_holds();
+            site.state.end_leases();
         }
         for n in 0..6 {
             site.until(n % 3, &format!("job-{n:06}"), "done").await;
@@ -270,7 +270,7 @@
         }
         site.insist("POST", 1, "/v2/runs/job-000003/cancel", None).await;
         // A term ends between, so that there are copies of an earlier leader's words, too.
-        site.state.end_holds();
+        site.state.end_leases();
         site.kill(0);
         sleep(Duration::from_millis(200)).await;
         site.boot(0);
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -64,7 +64,7 @@
         site.until(0, "job-000001", "running").await;
         let (status, v) = site.insist("POST", 1, "/v2/runs/job-000001/cancel", None).await;
         assert_eq!((status, &v["standing"]), (200, &json!("cancelled")));
-        site.state.end_holds();
+        site.state.end_leases();
         for at in 0..3 {
             let (_, v) = site.insist("GET", at, "/v2/runs/job-000001", None).await;
             assert_eq!(v["standing"], "cancelled", "whoever leads");
@@ -86,7 +86,7 @@
         sleep(Duration::from_millis(300)).await;
         site.boot(0);
         site.boot(1);
-        site.state.end_holds();
+        site.state.end_leases();
         let (_, v) = site.insist("POST", 2, "/v2/runs", Some(site.job(9, 3))).await;
         assert_eq!(v["name_id"], "job-000009");
         // An outage: nothing can be known, and that is said at once.
@@ -146,12 +146,12 @@
             assert_eq!(status, 200, "{v}");
         }
         // The next leader ends and is back within a fraction of a second, while
-        // its hold ends, too.
+        // its lease ends, too.
         let next = (0..3)
             .find(|i| site.state.leader() == Some(format!("heron-{i}")))
             .expect("a leader");
         site.kill(next);
-        site.state.end_holds();
+        site.state.end_leases();
         sleep(Duration::from_millis(100)).await;
         site.boot(next);
         site.state.refuse(leader, false);
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -191,7 +191,7 @@
 #[test]
 fn a_new_leader_asks_in_bounded_numbers_and_starts_first() {
     // Thousands of machines are to be asked what is on them. Not all at once:
-    // the touch of the hold must not wait behind them. What a machine that has
+    // the renewal of the lease must not wait behind them. What a machine that has
     // spoken already has room for doesn't wait behind them, either.
     let now = start();
     let (old, segments) = full(LARGE, now);
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -149,8 +149,8 @@
             .and_then(|(v, ..)| Some(v["host"].as_str()?.to_owned()))
     }
 
-    /// Ends every hold: whoever leads is deposed.
-    pub fn end_holds(&self) {
+    /// Ends every lease: whoever leads is deposed.
+    pub fn end_leases(&self) {
         let ids: Vec<u64> = self.0.lock().holds.keys().copied().collect();
         for id in ids {
             self.end(id);
@@ -274,7 +274,7 @@
             let mut d = self.0.lock();
             d.came += u64::from(d.late.is_some());
             let came = d.came;
-            d.late.filter(|l| came % l.0 == 0)
+            d.late.filter(|l| came.is_multiple_of(l.0))
         };
         let Some((_, late)) = late else {
             return self.multi(t);
