Log: compaction puts the ends of a job together

Cause, by reading: ends that alternate between jobs have an entry each, about 28 bytes where live_bytes reckons with 6, so a huge array kept the compaction busy with each append and the log several times as long as what it says.

--- a/src/core/wal.rs
+++ b/src/core/wal.rs
@@ -196,13 +196,13 @@
         }
         let mut changed: BTreeSet<u64> = BTreeSet::new();
         let mut dropped = None;
-        let mut again = Vec::new();
+        let mut again: Vec<Entry> = Vec::new();
         let room_for = 4 + 2 * live_bytes.div_ceil(self.limit);
         if most >= 4 && self.segments.len() > room_for {
             let oldest = self.segments.first_key_value().map(|(n, _)| *n);
             if let Some(n) = oldest.filter(|n| Some(*n) != self.open) {
                 let s = self.segments.remove(&n).unwrap_or_default();
-                again.extend(s.entries.iter().filter_map(&live));
+                again = merged(s.entries.iter().filter_map(&live));
                 dropped = Some(n);
             }
         }
@@ -258,6 +258,24 @@
     }
 }
 
+/// The entries with those of done tasks put together by job: a huge array ends
+/// task by task between all others, and an entry for each would make its log
+/// several times as long as what it says.
+fn merged(entries: impl Iterator<Item = Entry>) -> Vec<Entry> {
+    let mut out = Vec::new();
+    let mut done: BTreeMap<JobId, Vec<u32>> = BTreeMap::new();
+    for e in entries {
+        match e {
+            Entry::Done(job, tasks) => done.entry(job).or_default().extend(tasks),
+            other => out.push(other),
+        }
+    }
+    for (job, tasks) in done {
+        out.extend(tasks.chunks(MOST_INDICES).map(|c| Entry::Done(job, c.to_vec())));
+    }
+    out
+}
+
 /// Gone machines and their names, kept so that late copies of their words
 /// don't bring them back.
 #[derive(Debug, Default)]
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -257,3 +257,40 @@
         prop_assert!(log > 0.0);
     }
 }
+
+#[test]
+fn a_huge_array_that_ends_task_by_task_keeps_its_log_small() {
+    // Its ends come between those of another job, so that no two follow on each
+    // other: an entry for each would be five times as long as what it says.
+    const TASKS: u32 = 50_000;
+    let mut log = Log::new(4096);
+    let mut stored: BTreeMap<u64, usize> = BTreeMap::new();
+    let ids = [1, 2].map(job);
+    let mut written = 0;
+    for i in 0..TASKS {
+        for id in ids {
+            log.push(Entry::Done(id, vec![i]));
+        }
+        if i % 20 == 19 {
+            let live_bytes = 2 * (i as usize + 1) * 6;
+            let Some(a) = log.take(10, live_bytes, |e| Some(e.clone())) else {
+                continue;
+            };
+            log.appended(&a);
+            for (n, v) in &a.segments {
+                written += 1;
+                match v {
+                    Some(v) => stored.insert(*n, v.to_string().len()),
+                    None => stored.remove(n),
+                };
+            }
+        }
+    }
+    let bytes: usize = stored.values().sum();
+    assert!(bytes < TASKS as usize * 2 * 6 * 2 + 5 * 4096, "{bytes} bytes");
+    assert!(written < TASKS / 20 * 4, "{written} segments written");
+    let done = log.replay().done;
+    assert!(ids
+        .iter()
+        .all(|id| done[id].len() == TASKS as usize - TASKS as usize % 20));
+}
