--- a/tests/input.rs
+++ b/tests/input.rs
@@ -123,7 +123,11 @@
         let said = String::from_utf8_lossy(&reply.body).into_owned();
         assert!(said.contains(name), "{name} {value:?}: {said}");
     }
-    let list: Vec<Value> = good().into_iter().map(|(_, v)| v).collect();
+    // The values alone, in the order in which they would be read without their names.
+    let order = "name_id lot_class desk sort urgency lots cpus accelerators memory_gb kit size_gb rigs yard \
+                 one_zone spread loaners expected_s tally_s stow_s due_s";
+    let list: Vec<Value> = order.split_whitespace().map(|k| good()[k].clone()).collect();
+    assert_eq!(list.len(), good().len());
     for body in [
         "",
         "7",
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -161,3 +161,23 @@
         site.until(at, "job-000001", "cancelled").await;
     });
 }
+
+#[test]
+fn a_cancellation_that_meets_a_changed_key_is_stored_all_the_same() {
+    // Its user asks once and gives up: the job must not be neither run nor
+    // cancelled for as long as the term lasts.
+    on_loopback(async {
+        let site = Site::start(Duration::from_secs(600)).await;
+        site.insist("POST", 0, "/v2/runs", Some(site.job(1, 2))).await;
+        site.until(0, "job-000001", "running").await;
+        let value = site.state.value("jobs/job-000001").expect("stored");
+        site.state.plant("jobs/job-000001", value);
+        ask("POST", site.api[0], "/v2/runs/job-000001/cancel", None).await;
+        site.until(1, "job-000001", "cancelled").await;
+        let began = Instant::now();
+        while site.cloud.running() > 0 {
+            assert!(began.elapsed() < LONG, "its tasks are gone");
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -83,6 +83,8 @@
     /// A job is called off at the very moment at which all tasks on a machine
     /// end, whatever the leader knows of that.
     CancelAtEnd(usize),
+    /// Whatever runs or fetches fails, everywhere.
+    Fail,
     /// Leaders follow on each other, some messages between arrive.
     Chain(u8),
     /// All controllers are away for longer than a lease.
@@ -503,6 +505,13 @@
                     };
                 }
             }
+            Op::Fail => {
+                for t in self.workers.iter_mut().flat_map(|w| w.tasks.values_mut()) {
+                    if matches!(t.1, TaskState::Fetching | TaskState::Running) {
+                        *t = (t.0, TaskState::Exited, Some(Why::Error));
+                    }
+                }
+            }
             Op::Expire(i) => {
                 let w = &mut self.workers[i % n];
                 w.tasks.clear();
@@ -617,6 +626,7 @@
         1 => any::<usize>().prop_map(Op::CancelAtEnd),
         1 => (2..11u8).prop_map(Op::Chain),
         1 => Just(Op::Away),
+        3 => Just(Op::Fail),
         2 => any::<usize>().prop_map(Op::Copy),
         2 => any::<usize>().prop_map(Op::Late),
         2 => any::<usize>().prop_map(Op::OldReport),
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -136,6 +136,11 @@
         d.keys.insert(key.to_owned(), (value, revision, None));
     }
 
+    /// A key's value.
+    pub fn value(&self, key: &str) -> Option<Value> {
+        self.0.lock().keys.get(key).map(|k| k.0.clone())
+    }
+
     /// Whether a key exists.
     pub fn has(&self, key: &str) -> bool {
         self.0.lock().keys.contains_key(key)
