--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -665,10 +665,12 @@
             x.deaf = false;
         }
         let mut since = BTreeMap::new();
-        for i in 0..4000usize {
+        for i in 0..9600usize {
+            // Tasks run for long, so that work waits and every machine is needed.
+            let ends = if i / 8 % 60 < 8 { 0 } else { 4 };
             let op = match i % 8 {
                 0 => Op::Report(i / 8),
-                1 => Op::Run(i / 8, 0),
+                1 => Op::Run(i / 8, ends),
                 7 => Op::Wait(400),
                 _ => Op::Deliver(0),
             };
