--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -636,6 +636,41 @@
     ]
 }
 
+/// Trouble is over: all gets done, and nobody waits for long beside room.
+fn quiet_ending(w: &mut World) -> Result<(), TestCaseError> {
+    let mut since = BTreeMap::new();
+    for i in 0..9600usize {
+        // Tasks run for long, so that work waits and every machine is needed.
+        let ends = if i / 8 % 60 < 8 { 0 } else { 4 };
+        let op = match i % 8 {
+            0 => Op::Report(i / 8),
+            1 => Op::Run(i / 8, ends),
+            7 => Op::Wait(400),
+            _ => Op::Deliver(0),
+        };
+        // What the fleet does with silent machines.
+        let alive = |id: &MachineId| w.workers.iter().any(|x| x.alive && x.id == *id);
+        let dead: Vec<MachineId> = w.model.machines.keys().filter(|id| !alive(id)).cloned().collect();
+        for id in dead {
+            w.model.released(&id, w.now);
+        }
+        w.step(op);
+        let waiting = w.waiting_beside_room();
+        since.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            let t = *since.entry(id).or_insert(w.now);
+            prop_assert!(
+                w.now - t <= secs(90),
+                "{id} waits for {:?} beside room",
+                w.now - t
+            );
+        }
+    }
+    let open: BTreeSet<_> = w.jobs.keys().collect();
+    prop_assert!(open.is_empty(), "left over: {:?}, mail {}", open, w.mail.len());
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 400, max_shrink_iters: 300, failure_persistence: None, ..ProptestConfig::default()
@@ -664,32 +699,34 @@
         for x in &mut w.workers {
             x.deaf = false;
         }
-        let mut since = BTreeMap::new();
-        for i in 0..9600usize {
-            // Tasks run for long, so that work waits and every machine is needed.
-            let ends = if i / 8 % 60 < 8 { 0 } else { 4 };
-            let op = match i % 8 {
-                0 => Op::Report(i / 8),
-                1 => Op::Run(i / 8, ends),
-                7 => Op::Wait(400),
+        quiet_ending(&mut w)?;
+    }
+
+    /// The same after all that runs has failed everywhere, six times in a row.
+    #[test]
+    fn nobody_waits_beside_room_after_failing_everywhere(ops in proptest::collection::vec(any_op(), 20..200)) {
+        let mut w = World::new();
+        for op in ops {
+            if !matches!(op, Op::Die(_)) {
+                w.step(op);
+            }
+        }
+        w.step(Op::Deaf(usize::MAX - 1, false));
+        w.mute.clear();
+        for x in &mut w.workers {
+            x.deaf = false;
+        }
+        // The last of the trouble: all that runs fails, six times.
+        for i in 0..240usize {
+            let op = match (i % 40, i % 8) {
+                (39, _) => Op::Fail,
+                (_, 0) => Op::Report(i / 8),
+                (_, 7) => Op::Wait(400),
                 _ => Op::Deliver(0),
             };
-            // What the fleet does with silent machines.
-            let alive = |id: &MachineId| w.workers.iter().any(|x| x.alive && x.id == *id);
-            let dead: Vec<MachineId> = w.model.machines.keys().filter(|id| !alive(id)).cloned().collect();
-            for id in dead {
-                w.model.released(&id, w.now);
-            }
             w.step(op);
-            let waiting = w.waiting_beside_room();
-            since.retain(|id, _| waiting.contains(id));
-            for id in waiting {
-                let t = *since.entry(id).or_insert(w.now);
-                prop_assert!(w.now - t <= secs(90), "{id} waits for {:?} beside room", w.now - t);
-            }
         }
-        let open: BTreeSet<_> = w.jobs.keys().collect();
-        prop_assert!(open.is_empty(), "left over: {:?}, mail {}", open, w.mail.len());
+        quiet_ending(&mut w)?;
     }
 }
 
