Jobs that cannot start hold no idle machines

Idle machines were kept while any job had a waiting task, and one that was submitted with a mistake waits until its user cancels it.

What waits counts now only as far as its pause, its probation and its team's limit let it start, by the same rule as for rentals.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -7,6 +7,7 @@
 use tracing::{debug, info};
 
 use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
+use super::plan::Usage;
 use crate::wire::{JobSpec, Kind, MachineId, Rental};
 
 /// A kind of machine at a place: type, zone, spot.
@@ -197,14 +198,43 @@
         }
     }
 
-    /// How many of a job's waiting tasks may be placed now, if there is room.
-    fn placeable(&self, job: &Job, now: Instant) -> u32 {
-        let admitted = self.admitted(job, now).saturating_sub(job.placed);
-        // A gang is placed whole or not at all.
-        if admitted > 0 && job.spec.kind == Kind::Gang {
-            return job.waiting.count();
+    /// How many of a job's waiting tasks may start now if there is room: as many
+    /// as its pause, its probation and its team's limit allow, given what the
+    /// team uses.
+    fn startable(&self, job: &Job, team_usage: Usage, now: Instant) -> u32 {
+        if job.cancelled || job.pause_until.is_some_and(|t| t > now) {
+            return 0;
         }
-        admitted.min(job.waiting.count())
+        let admitted = match self.admitted(job, now).saturating_sub(job.placed) {
+            // A gang is placed whole or not at all.
+            1.. if job.spec.kind == Kind::Gang => u32::MAX,
+            admitted => admitted,
+        };
+        let mut startable = admitted.min(job.waiting.count());
+        let Some(team) = self.config.teams.get(&job.spec.team) else {
+            return startable;
+        };
+        let limits = [
+            (team.cpus_max, team_usage.cpus, job.spec.cpus),
+            (team.gpus_max, team_usage.gpus, job.spec.gpus),
+        ];
+        for (limit, used, each) in limits {
+            if limit > 0.0 && each > 0.0 {
+                startable = startable.min(((limit - used + EPS) / each).max(0.0) as u32);
+            }
+        }
+        startable
+    }
+
+    /// Whether some job waits for nothing but room. Jobs that pause, are on
+    /// probation or at their team's limit must not hold the whole fleet: one
+    /// that was submitted with a mistake waits until its user cancels it.
+    fn work_waits_for_room(&self, now: Instant) -> bool {
+        let usage = self.usage();
+        self.jobs.values().filter(|j| j.waiting.count() > 0).any(|job| {
+            let team_usage = usage.get(&job.spec.team).copied().unwrap_or_default();
+            self.startable(job, team_usage, now) > 0
+        })
     }
 
     fn kind_of(&self, m: &Machine) -> Option<usize> {
@@ -279,7 +309,7 @@
             out.push(m.id.clone());
         }
         // Idle ones beyond the warm room, dear ones first.
-        if self.jobs.values().any(|j| !j.cancelled && j.waiting.count() > 0) {
+        if self.work_waits_for_room(now) {
             return out;
         }
         let (mut free, used) = self.room(now);
@@ -399,27 +429,16 @@
             }
         }
         let mut usage = self.usage();
-        let mut queue: Vec<_> = self
-            .jobs
-            .values()
-            .filter(|j| !j.cancelled && j.waiting.count() > 0 && j.pause_until.is_none_or(|t| t <= now))
-            .collect();
+        let mut queue: Vec<_> = self.jobs.values().filter(|j| j.waiting.count() > 0).collect();
         let ranks = self.ranks(now);
         queue.sort_by_key(|j| ranks.get(&j.spec.id));
         let mut cpus_waiting = 0.0;
         for j in queue {
             let s = &j.spec;
-            let mut left = self.placeable(j, now);
-            if let Some(t) = self.config.teams.get(&s.team) {
-                let u = usage.entry(s.team.clone()).or_default();
-                for (most, used, need) in [(t.cpus_max, u.cpus, s.cpus), (t.gpus_max, u.gpus, s.gpus)] {
-                    if most > 0.0 && need > 0.0 {
-                        left = left.min(((most - used + EPS) / need).max(0.0) as u32);
-                    }
-                }
-                u.cpus += f64::from(left) * s.cpus;
-                u.gpus += f64::from(left) * s.gpus;
-            }
+            let team_usage = usage.entry(s.team.clone()).or_default();
+            let mut left = self.startable(j, *team_usage, now);
+            team_usage.cpus += f64::from(left) * s.cpus;
+            team_usage.gpus += f64::from(left) * s.gpus;
             cpus_waiting += f64::from(left) * s.cpus;
             for b in &mut bins {
                 while left > 0 && self.fits_bin(s, b) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -242,3 +242,64 @@
     let other = MachineId::from("i-south-0");
     assert!(m.machines[&other].slots.is_empty(), "this one obeys: it is over");
 }
+
+#[test]
+fn a_job_that_cannot_start_does_not_hold_idle_machines() {
+    // Submitted with a mistake, a job waits until its user cancels it, mostly in
+    // a pause or with its one trial on its way. A job at its team's limit waits
+    // for its own tasks. Neither has any use for more machines.
+    let now = start();
+    let later = now + secs(600);
+    let idle_fleet = || {
+        let mut m = model(7);
+        for i in 0..20 {
+            m.heard(&report(&format!("i-{i:02}"), "small", "north", false, 7, 1), now);
+        }
+        for i in 0..20 {
+            m.heard(
+                &report(&format!("i-{i:02}"), "small", "north", false, 7, 2),
+                later,
+            );
+        }
+        m
+    };
+
+    let mut paused = idle_fleet();
+    paused.add_job(record(job(1, 50, 8.0)), later);
+    let bad = paused.jobs.values_mut().next().expect("the job");
+    for id in ["i-91", "i-92", "i-93"] {
+        bad.failures.record(&id.into(), secs(1), later);
+    }
+    let pause = bad.failures.pause();
+    bad.pause_until = Some(later + pause);
+    assert_eq!(released(&mut paused, later).len(), 20, "it pauses");
+
+    let mut tried = idle_fleet();
+    tried.add_job(record(job(1, 50, 8.0)), later);
+    let bad = tried.jobs.values_mut().next().expect("the job");
+    for id in ["i-91", "i-92", "i-93"] {
+        bad.failures.record(&id.into(), secs(1), later);
+    }
+    tried.plan(later);
+    assert_eq!(tried.jobs.values().next().expect("the job").placed, 1);
+    assert!(released(&mut tried, later).len() >= 17, "one task is tried");
+
+    let mut limited = idle_fleet();
+    let mut spec = job(1, 50, 8.0);
+    spec.team = "red".into();
+    limited.add_job(record(spec), later);
+    limited.plan(later);
+    assert_eq!(
+        limited.jobs.values().next().expect("the job").placed,
+        5,
+        "40 CPUs"
+    );
+    assert!(
+        released(&mut limited, later).len() >= 13,
+        "its team is at its limit"
+    );
+
+    let mut wanted = idle_fleet();
+    wanted.add_job(record(job(1, 50, 8.0)), later);
+    assert_eq!(released(&mut wanted, later), Vec::<String>::new());
+}
