Young borrowed tasks make room for urgent work

Now such tasks count as shadow load of a blocked head of higher priority that can still be served in time, while they are young, beyond a guarantee and promised to nobody; two of a job are spared and their job pauses for 20 s.

Ruled out: takeovers, limits of sockets and memory.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod authority;
 pub mod bits;
+mod borrowed;
 pub mod fleet;
 pub mod model;
 pub mod plan;
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::borrowed::BorrowedLoad;
 use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
 use crate::wire::{JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId};
 
@@ -43,7 +44,7 @@
 pub const LIFT_AFTER: Duration = Duration::from_secs(150);
 /// So many of a starved job's tasks go first; the rest waits in the job's
 /// ordinary place, so that all who starve begin soon.
-const BEGIN_TASKS: u32 = 2;
+pub(super) const BEGIN_TASKS: u32 = 2;
 
 /// Free room of a machine that may be placed on.
 #[derive(Debug, Clone)]
@@ -70,6 +71,8 @@
     gpus: f64,
     memory: f64,
     shadow: bool,
+    /// Shadow for no other reason than that its room is borrowed.
+    borrowed: bool,
     rank: Option<Rank>,
     task: TaskId,
     grace: Duration,
@@ -211,7 +214,7 @@
 
     /// When a job is due, in seconds from its arrival, by the strictest and by
     /// the laxest of what its users were told.
-    fn dues(&self, job: &Job) -> (Option<f64>, Option<f64>) {
+    pub(super) fn dues(&self, job: &Job) -> (Option<f64>, Option<f64>) {
         let class = Some(&job.spec.class);
         let objectives = self
             .config
@@ -533,7 +536,7 @@
     }
 
     /// Fills in what runs on the machines; as shadow only what the head outranks.
-    fn load(&mut self, head: Rank) {
+    fn load(&mut self, head: Rank, mut borrowed: BorrowedLoad) {
         self.loaded = true;
         let (model, now) = (&*self.model, self.now);
         for room in &mut self.rooms {
@@ -543,7 +546,9 @@
             for (task, s) in m.slots.iter().filter(|(_, s)| s.takes_room()) {
                 let Some(spec) = &s.spec else { continue };
                 let rank = self.ranks.get(&task.job).copied();
-                let stoppable = s.backfilled && s.stop.is_none() && !matches!(s.state, SlotState::Saving);
+                let lives = s.stop.is_none() && !matches!(s.state, SlotState::Saving);
+                let outranked = lives && rank.is_some_and(|r| r > head);
+                let lent = outranked && !s.backfilled && borrowed.admits_stop(model, task.job, s, now);
                 room.load.push(Load {
                     end: if s.stop.is_some() {
                         now
@@ -553,7 +558,8 @@
                     cpus: spec.cpus,
                     gpus: spec.gpus,
                     memory: spec.memory_gb,
-                    shadow: stoppable && rank.is_some_and(|r| r > head),
+                    shadow: outranked && s.backfilled || lent,
+                    borrowed: lent,
                     rank,
                     task: *task,
                     grace: spec.grace(),
@@ -759,10 +765,11 @@
     /// Stops shadow tasks if that starts tasks of the head (a gang: all of
     /// them) at once; lowest priority first, where the least work is lost.
     fn preempt_for(&mut self, head: JobId, rank: Rank, round: &mut Round) {
-        if !self.model.shadows {
+        let borrowed = BorrowedLoad::for_head(self.model, head, &self.ranks);
+        if !self.model.shadows && borrowed.is_empty() {
             return;
         }
-        self.load(rank);
+        self.load(rank, borrowed);
         if !self.rooms.iter().any(|r| r.load.iter().any(|l| l.shadow)) {
             return;
         }
@@ -972,6 +979,9 @@
                 }
                 self.model
                     .stop(&machine, l.task, l.grace, self.now, "shadow of the head");
+                if l.borrowed {
+                    self.model.pause_borrower(l.task.job, self.now);
+                }
             }
         }
         self.rooms[p.at].claim(spec);
@@ -983,6 +993,7 @@
                 gpus: spec.gpus,
                 memory: spec.memory_gb,
                 shadow: false,
+                borrowed: false,
                 rank: self.ranks.get(&spec.id).copied(),
                 task: p.task,
                 grace: Duration::ZERO,
@@ -1014,7 +1025,7 @@
         let spec = job.spec.clone();
         if !self.loaded {
             let rank = *self.ranks.get(&head)?;
-            self.load(rank);
+            self.load(rank, BorrowedLoad::default());
         }
         let zones = self.zone_rule(&spec);
         let mut best = None;
