--- /dev/null
+++ b/src/core/admission.rs
@@ -0,0 +1,54 @@
+//! Whether a job can ever run on the cluster.
+
+use std::collections::HashMap;
+
+use super::model::EPS;
+use crate::settings::Team;
+use crate::wire::{JobSpec, Kind, MachineType};
+
+/// Why a job can never run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Unfit {
+    /// No such team.
+    #[error("unknown team")]
+    Team,
+    /// A task fits no allowed machine type.
+    #[error("a task fits no allowed machine type")]
+    Type,
+    /// It needs more than the team's limit.
+    #[error("needs more than the team's limit")]
+    Limit,
+}
+
+/// Whether a job can ever run, given teams and machine types.
+pub fn admissible(spec: &JobSpec, teams: &HashMap<String, Team>, types: &[MachineType]) -> Result<(), Unfit> {
+    let team = teams.get(&spec.team).ok_or(Unfit::Team)?;
+    let fits = types.iter().any(|t| {
+        type_allowed(spec, t)
+            && spec
+                .zone
+                .as_ref()
+                .is_none_or(|z| t.zones.is_empty() || t.zones.contains(z))
+    });
+    if !fits {
+        return Err(Unfit::Type);
+    }
+    let n = if spec.kind == Kind::Array {
+        1.0
+    } else {
+        f64::from(spec.tasks)
+    };
+    let over = |need: f64, most: f64| most > 0.0 && need * n > most + EPS;
+    if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+        return Err(Unfit::Limit);
+    }
+    Ok(())
+}
+
+/// Whether a task fits an empty machine of a type that its job allows.
+pub fn type_allowed(spec: &JobSpec, t: &MachineType) -> bool {
+    spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+        && spec.cpus <= t.cpus + EPS
+        && spec.gpus <= t.gpus + EPS
+        && spec.memory_gb <= t.memory_gb + EPS
+}
--- a/src/core/borrowed.rs
+++ b/src/core/borrowed.rs
@@ -9,8 +9,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use super::model::{Model, Slot};
+use super::model::Model;
 use super::plan::{Rank, Tier, BEGIN_TASKS};
+use super::slot::Slot;
 use crate::wire::{JobId, Kind};
 
 /// A task is young until it has run for this share of its predicted run time.
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -6,8 +6,12 @@
 
 use tracing::{debug, info};
 
-use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
+use super::admission::type_allowed;
+use super::job::Job;
+use super::machine::{Machine, Phase};
+use super::model::{Model, EPS};
 use super::plan::Usage;
+use super::slot::SlotState;
 use crate::wire::{JobSpec, Kind, MachineId, Rental};
 
 /// A kind of machine at a place: type, zone, spot.
--- /dev/null
+++ b/src/core/job.rs
@@ -0,0 +1,129 @@
+//! An unfinished job: what is done, what waits, and where its tasks may be.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::bits::BitSet;
+use super::probation::FailureHistory;
+use super::record::JobRecord;
+use crate::wire::{JobSpec, Kind, MachineId};
+
+/// An unfinished job.
+#[derive(Debug)]
+pub struct Job {
+    /// What its user submitted.
+    pub spec: Arc<JobSpec>,
+    /// When, in milliseconds of the time of day.
+    pub at: u64,
+    /// The same on the leader's steady clock.
+    pub arrival: Instant,
+    /// Cancelled; the rest of its tasks is to go.
+    pub cancelled: bool,
+    /// The cancellation is stored.
+    pub cancel_stored: bool,
+    /// Tasks done.
+    pub done: BitSet,
+    /// Tasks neither done nor placed.
+    pub waiting: BitSet,
+    /// Where each placed task may be.
+    pub places: HashMap<u32, Vec<MachineId>>,
+    /// Tasks that were last seen running.
+    pub running: HashSet<u32>,
+    /// Places of all its tasks together.
+    pub placed: u32,
+    /// Its final state is being written.
+    pub writing: bool,
+    /// Failures since the last success.
+    pub failures: FailureHistory,
+    /// Not to be tried before.
+    pub pause_until: Option<Instant>,
+    /// Sum and count of run times seen.
+    pub run_sum: Duration,
+    /// How many are in `run_sum`.
+    pub run_count: u32,
+}
+
+impl Job {
+    /// A fresh or reloaded job.
+    pub fn new(record: JobRecord, arrival: Instant) -> Self {
+        let n = record.spec.tasks;
+        Self {
+            spec: Arc::new(record.spec),
+            at: record.at,
+            arrival,
+            cancelled: record.cancelled,
+            cancel_stored: record.cancelled,
+            done: BitSet::new(n),
+            waiting: BitSet::full(n),
+            places: HashMap::new(),
+            running: HashSet::new(),
+            placed: 0,
+            writing: false,
+            failures: FailureHistory::default(),
+            pause_until: None,
+            run_sum: Duration::ZERO,
+            run_count: 0,
+        }
+    }
+
+    /// Notes that a task is done.
+    pub(super) fn finish(&mut self, index: u32) {
+        self.waiting.remove(index);
+        self.done.insert(index);
+    }
+
+    /// Whether some task was ever started, as far as is known.
+    pub fn begun(&self) -> bool {
+        self.placed > 0 || self.done.count() > 0
+    }
+
+    /// It failed on several machines of late, and no task was ever done.
+    pub fn on_probation(&self, now: Instant) -> bool {
+        self.done.count() == 0 && self.failures.on_probation(now)
+    }
+
+    /// All its tasks are done.
+    pub fn complete(&self) -> bool {
+        self.spec.kind != Kind::Service && self.done.count() == self.spec.tasks
+    }
+
+    /// What survives.
+    pub fn record(&self) -> JobRecord {
+        JobRecord {
+            spec: (*self.spec).clone(),
+            at: self.at,
+            cancelled: self.cancelled,
+        }
+    }
+
+    /// A gang that lost some of its tasks: the rest has to go before it can
+    /// be placed again, whole.
+    pub fn broken_gang(&self) -> bool {
+        self.spec.kind == Kind::Gang && !self.places.is_empty() && self.waiting.count() > 0
+    }
+
+    pub(super) fn occupy(&mut self, index: u32, machine: &MachineId) {
+        let list = self.places.entry(index).or_default();
+        if !list.contains(machine) {
+            list.push(machine.clone());
+            self.placed += 1;
+            self.waiting.remove(index);
+        }
+    }
+
+    pub(super) fn vacate(&mut self, index: u32, machine: &MachineId) {
+        if let Some(list) = self.places.get_mut(&index) {
+            let before = list.len();
+            list.retain(|m| m != machine);
+            self.placed -= (before - list.len()) as u32;
+            self.running.remove(&index);
+            if list.is_empty() {
+                self.places.remove(&index);
+                if !self.done.has(index) {
+                    self.waiting.insert(index);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/machine.rs
@@ -0,0 +1,204 @@
+//! A rented machine and what its worker has said.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use super::job::Job;
+use super::slot::{Slot, SlotState};
+use super::wal::{Entry, Log};
+use crate::wire::{Command, JobId, MachineId, TaskId, Why};
+
+/// Bits of a token below the term.
+pub(super) const TOKEN_BITS: u32 = 20;
+
+/// How far a machine is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Rented, its worker has not spoken yet.
+    Booting,
+    /// Its worker has spoken.
+    Up,
+    /// Its release has been asked for; it holds what it holds until confirmed.
+    Releasing,
+}
+
+/// A rented machine.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// Where it takes commands.
+    pub addr: String,
+    /// Its type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// How far it is.
+    pub phase: Phase,
+    /// Known since (rental or first word of it).
+    pub since: Instant,
+    /// Session and sequence of the newest message.
+    pub newest: (u64, u64),
+    /// Highest token it said it has seen.
+    pub seen_token: u64,
+    /// Last token given out for it, below the term's bits.
+    pub token_seq: u64,
+    /// Last message of the worker.
+    pub heard: Option<Instant>,
+    /// Its last report was answered then: its lease runs from there at the latest.
+    pub replied: Option<Instant>,
+    /// When the cloud takes it.
+    pub recall: Option<Instant>,
+    /// What is or may be on it.
+    pub slots: BTreeMap<TaskId, Slot>,
+    /// Images, most recently used last.
+    pub images: Vec<(String, f64)>,
+    /// Outcomes wait to be forgotten since.
+    pub forget_since: Option<Instant>,
+    /// A command is under way.
+    pub commanding: bool,
+    /// Not to be sent commands before.
+    pub command_after: Option<Instant>,
+    /// Commands to it have gone unanswered since.
+    pub unanswered: Option<Instant>,
+    /// When it last answered a command.
+    pub answered: Option<Instant>,
+    /// Something is to be settled by a command though no order is due.
+    pub probe: bool,
+    /// Jobs that failed on it since its last success.
+    pub failed_jobs: BTreeSet<JobId>,
+    /// Failures since its last success.
+    pub failures: u32,
+    /// Takes no more tasks, since then.
+    pub cordoned: Option<Instant>,
+    /// Refused a start for want of room; not to be placed on before.
+    pub full_until: Option<Instant>,
+    /// Empty since.
+    pub idle_since: Option<Instant>,
+}
+
+impl Machine {
+    pub(super) fn new(id: MachineId, now: Instant) -> Self {
+        Self {
+            id,
+            addr: String::new(),
+            machine_type: String::new(),
+            zone: String::new(),
+            spot: false,
+            phase: Phase::Booting,
+            since: now,
+            newest: (0, 0),
+            seen_token: 0,
+            token_seq: 0,
+            heard: None,
+            replied: None,
+            recall: None,
+            slots: BTreeMap::new(),
+            images: Vec::new(),
+            forget_since: None,
+            commanding: false,
+            command_after: None,
+            unanswered: None,
+            answered: None,
+            probe: false,
+            failed_jobs: BTreeSet::new(),
+            failures: 0,
+            cordoned: None,
+            full_until: None,
+            idle_since: Some(now),
+        }
+    }
+
+    /// What the log is to say of it.
+    pub(super) fn entry(&self) -> Entry {
+        Entry::Machine(
+            self.id.clone(),
+            self.addr.clone(),
+            self.machine_type.clone(),
+            self.zone.clone(),
+            self.spot,
+        )
+    }
+
+    /// Something is to be said to its worker.
+    pub(super) fn wants_command(&self) -> bool {
+        self.probe
+            || self
+                .slots
+                .values()
+                .any(|s| s.stop.is_some() || matches!(s.state, SlotState::Placed | SlotState::Ended(_)))
+    }
+
+    /// Whether a session is over by its lease, see [`Model::clear_lapsed`].
+    pub fn session_over(&self, session: u64) -> bool {
+        self.newest == (session, u64::MAX)
+    }
+
+    /// Whether the worker obeys this term.
+    pub fn fenced(&self, term: u64) -> bool {
+        self.seen_token >> TOKEN_BITS == term
+    }
+
+    /// Whether it has the image or is fetching it.
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
+    pub(super) fn touch_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        if let Some(p) = self.images.iter().position(|(i, _)| i == image) {
+            let it = self.images.remove(p);
+            self.images.push(it);
+            return;
+        }
+        self.images.push((image.to_owned(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, g)| g).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+
+    /// CPUs, accelerators and memory that its tasks take.
+    pub fn used(&self) -> (f64, f64, f64) {
+        let specs = self.slots.values().filter(|s| s.takes_room());
+        specs
+            .filter_map(|s| s.spec.as_ref())
+            .fold((0.0, 0.0, 0.0), |u, s| {
+                (u.0 + s.cpus, u.1 + s.gpus, u.2 + s.memory_gb)
+            })
+    }
+
+    /// Nothing on it that takes room.
+    pub fn empty(&self) -> bool {
+        !self.slots.values().any(Slot::takes_room)
+    }
+}
+
+impl Machine {
+    /// Orders to forget what has ended and is stored.
+    pub(super) fn forgets(&self, log: &Log, jobs: &BTreeMap<JobId, Job>) -> Vec<Command> {
+        let kept = |task: &TaskId, slot: &Slot| match slot.state {
+            SlotState::Ended(Why::Done) => log.is_stored(slot.outcome) || !jobs.contains_key(&task.job),
+            SlotState::Ended(_) => true,
+            _ => false,
+        };
+        self.slots
+            .iter()
+            .filter(|(task, slot)| kept(task, slot))
+            .map(|(task, slot)| Command::Forget {
+                task: *task,
+                attempt: slot.attempt,
+            })
+            .collect()
+    }
+
+    pub(super) fn peek_token(&self, term: u64) -> u64 {
+        (term << TOKEN_BITS) + self.token_seq + 1
+    }
+
+    /// A token above all given out for this machine before.
+    pub(super) fn fresh_token(&mut self, term: u64) -> u64 {
+        self.token_seq += 1;
+        (term << TOKEN_BITS) + self.token_seq
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,18 +1,30 @@
 //! The cluster model as a pure state machine: events and `now` go in,
 //! decisions come out. No I/O, no clock, no randomness of its own.
 //!
-//! [`model`] keeps what is known and what may be where, [`plan`] is PV-EASY,
-//! [`probation`] holds back jobs that fail everywhere, [`fleet`] decides rentals and returns, [`record`] is what survives a leader.
+//! [`model`] keeps the jobs ([`job`]) and machines ([`machine`]) of one term, and
+//! what may be where ([`slot`]). [`worker_reports`], [`worker_commands`] and
+//! [`liveness`] hold the rules of evidence, [`plan`] is PV-EASY, [`probation`]
+//! holds back jobs that fail everywhere, [`fleet`] decides rentals and returns,
+//! [`wal`] and [`record`] are what survives a leader.
 
+pub mod admission;
 pub mod authority;
 pub mod bits;
 mod borrowed;
+pub mod config;
 pub mod fleet;
+pub mod job;
+pub mod liveness;
+pub mod machine;
 pub mod model;
 pub mod plan;
 pub mod probation;
 pub mod record;
+pub mod slot;
 pub mod store_plan;
 pub mod wal;
+pub mod worker_commands;
+pub mod worker_reports;
 
-pub use model::{Config, Model};
+pub use config::Config;
+pub use model::Model;
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -5,8 +5,12 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::admission::type_allowed;
 use super::borrowed::BorrowedLoad;
-use super::model::{type_allowed, Job, Machine, Model, Phase, SlotState, EPS};
+use super::job::Job;
+use super::machine::{Machine, Phase};
+use super::model::{Model, EPS};
+use super::slot::{Slot, SlotState};
 use crate::wire::{JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId};
 
 /// Place of a job in the queue; the smaller comes first: by priority, then by
@@ -285,7 +289,7 @@
     }
 
     /// When a slot is predicted to be free.
-    pub(super) fn predicted_end(&self, slot: &super::model::Slot, now: Instant) -> Instant {
+    pub(super) fn predicted_end(&self, slot: &Slot, now: Instant) -> Instant {
         let Some(spec) = &slot.spec else {
             return now + Duration::from_secs(1);
         };
--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -5,7 +5,8 @@
 
 use tracing::info;
 
-use super::model::{Job, Model, LEAST_RATIO};
+use super::job::Job;
+use super::model::{Model, LEAST_RATIO};
 use super::record::{self, FinalRecord};
 use super::wal::{Append, Entry};
 use crate::store::Unit;
--- /dev/null
+++ b/src/core/worker_commands.rs
@@ -0,0 +1,219 @@
+//! What is said to workers: responses to reports, and commands.
+
+use std::time::{Duration, Instant};
+
+use super::machine::{Machine, Phase, TOKEN_BITS};
+use super::model::{Model, EPS};
+use super::slot::SlotState;
+use crate::wire::{Command, Commands, MachineId, Report, TaskState};
+
+impl Model {
+    /// The token for the response to a report, and what the response orders.
+    /// The token is one that the worker has reported in this term, so that no
+    /// response runs ahead of a command that is still on its way; where it has
+    /// none, or where outcomes are to be forgotten and no command is on its
+    /// way, a fresh one that no command carries. `None`: a later leader has spoken.
+    pub fn reply(&mut self, machine: &MachineId, reported: u64, now: Instant) -> Option<(u64, Vec<Command>)> {
+        if reported >> TOKEN_BITS > self.term {
+            return None;
+        }
+        let term = self.term;
+        let patience = self.config.report;
+        let (log, jobs) = (&self.log, &self.jobs);
+        let m = self.machines.get_mut(machine)?;
+        m.replied = Some(now);
+        if !m.fenced(term) {
+            return Some((m.fresh_token(term), Vec::new()));
+        }
+        // A start on its way to a task that is to be stopped: where commands don't
+        // get through, it would wait out there for as long as this worker's lease
+        // is renewed here. A fresh token refuses it for good.
+        let astray = m.slots.values().any(|s| {
+            s.state == SlotState::Placed
+                && s.start_token > m.seen_token
+                && s.stop_at
+                    .is_some_and(|t| now.saturating_duration_since(t) > patience)
+        });
+        if astray {
+            return Some((m.fresh_token(term), Vec::new()));
+        }
+        if m.commanding || m.forget_since.is_none() {
+            return Some((m.seen_token, Vec::new()));
+        }
+        let orders = m.forgets(log, jobs);
+        if orders.is_empty() {
+            return Some((m.seen_token, orders));
+        }
+        Some((m.fresh_token(term), orders))
+    }
+
+    /// Stops for what a report lists of cancelled jobs. They go with every
+    /// response that renews a lease, also past the right to act, so that no
+    /// answer of one who knows of a cancellation lets its tasks live on. A stop
+    /// names an attempt and may be repeated; it is no evidence by itself.
+    pub fn stops(&self, r: &Report) -> Vec<Command> {
+        let live = r.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        live.filter(|t| self.jobs.get(&t.task.job).is_some_and(|j| j.cancelled))
+            .map(|t| Command::Stop {
+                task: t.task,
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect()
+    }
+
+    /// Notes that a command may be due for a machine that none is on its way to.
+    pub(super) fn note_due(&mut self, id: &MachineId) {
+        let due = |m: &Machine| !m.commanding && m.wants_command();
+        if self.machines.get(id).is_some_and(due) {
+            self.due.insert(id.clone());
+        }
+    }
+
+    /// Commands that are due, at most so many probes of machines that have
+    /// nothing else to do. Tokens are fresh.
+    pub fn commands(&mut self, now: Instant, probes: usize) -> Vec<(MachineId, String, Commands)> {
+        let mut out = Vec::new();
+        let mut left = probes;
+        for id in std::mem::take(&mut self.due) {
+            let Some(m) = self.machines.get(&id) else { continue };
+            if left == 0 && m.probe && !m.fenced(self.term) {
+                self.due.insert(id);
+                continue;
+            }
+            let probe = m.probe;
+            match self.command(&id, now) {
+                Some((addr, c)) => {
+                    left -= usize::from(probe && left > 0);
+                    out.push((id, addr, c));
+                }
+                None => self.note_due(&id),
+            }
+        }
+        out
+    }
+
+    /// The next command to a worker, if one is due. The token is fresh.
+    pub fn command(&mut self, machine: &MachineId, now: Instant) -> Option<(String, Commands)> {
+        let term = self.term;
+        let types = &self.types;
+        let (log, jobs) = (&self.log, &self.jobs);
+        let patience = self.config.report * 2;
+        let m = self.machines.get_mut(machine)?;
+        if m.commanding || m.addr.is_empty() || m.command_after.is_some_and(|t| t > now) {
+            return None;
+        }
+        if m.phase == Phase::Releasing {
+            return None;
+        }
+        let mut commands = m.forgets(log, jobs);
+        let forgets = commands.len();
+        let mut used = (0.0, 0.0, 0.0);
+        for (task, slot) in &mut m.slots {
+            let Some(grace) = slot.stop.filter(|_| slot.takes_room()) else {
+                if !matches!(slot.state, SlotState::Ended(_) | SlotState::Placed) || slot.start_token > 0 {
+                    if let Some(s) = slot.spec.as_ref().filter(|_| slot.takes_room()) {
+                        used = (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb);
+                    }
+                }
+                continue;
+            };
+            let overdue = slot
+                .stop_at
+                .is_some_and(|t| now > t + grace + Duration::from_secs(2));
+            let grace = if overdue { Duration::ZERO } else { grace };
+            let saves = slot
+                .spec
+                .as_ref()
+                .is_some_and(|s| s.checkpoint_s > 0.0 && s.save_s > 0.0)
+                && !grace.is_zero();
+            if saves {
+                if let Some(s) = &slot.spec {
+                    used = (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb);
+                }
+            }
+            if slot.state == SlotState::Saving && !overdue && !grace.is_zero() {
+                continue;
+            }
+            commands.push(Command::Stop {
+                task: *task,
+                attempt: slot.attempt,
+                grace_s: grace.as_secs_f64(),
+            });
+        }
+        let kind = types.iter().find(|t| t.name == m.machine_type);
+        let token = m.peek_token(term);
+        let session = m.newest.0.max(1);
+        for (task, slot) in &mut m.slots {
+            if slot.state != SlotState::Placed || slot.stop.is_some() || !log.is_stored(slot.logged) {
+                continue;
+            }
+            let Some(s) = &slot.spec else { continue };
+            if jobs.get(&task.job).is_none_or(|j| j.cancelled) {
+                continue;
+            }
+            if slot.start_token == 0 {
+                // Not before there is room for it: tasks told to stop may
+                // still be saving.
+                let Some(k) = kind else { continue };
+                if used.0 + s.cpus > k.cpus + EPS
+                    || used.1 + s.gpus > k.gpus + EPS
+                    || used.2 + s.memory_gb > k.memory_gb + EPS
+                {
+                    continue;
+                }
+                used = (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb);
+            }
+            slot.start_token = token;
+            // The latest session that a start went to: any later one refuses.
+            slot.start_session = slot.start_session.max(session);
+            commands.push(Command::Start {
+                task: *task,
+                attempt: slot.attempt,
+            });
+        }
+        // Outcomes are forgotten along with other orders or in the response to
+        // a report; alone only if neither comes.
+        let tardy = m
+            .forget_since
+            .is_some_and(|t| now.saturating_duration_since(t) > patience);
+        if !m.probe && (commands.is_empty() || commands.len() == forgets && !tardy) {
+            return None;
+        }
+        m.probe = false;
+        m.commanding = true;
+        let token = m.fresh_token(term);
+        Some((
+            m.addr.clone(),
+            Commands {
+                token,
+                session,
+                commands,
+            },
+        ))
+    }
+
+    /// A command was answered, or not (`report` is `None`: unknown).
+    pub fn commanded(&mut self, machine: &MachineId, report: Option<&Report>, now: Instant) {
+        if let Some(r) = report.filter(|r| r.machine == *machine) {
+            self.heard(r, now);
+        }
+        let term = self.term;
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        self.due.insert(machine.clone());
+        m.commanding = false;
+        if report.is_some() {
+            m.unanswered = None;
+            m.answered = Some(now);
+        }
+        if report.is_none() {
+            m.unanswered.get_or_insert(now);
+            m.probe = true;
+            m.command_after = Some(now + Duration::from_millis(700));
+        } else if !m.fenced(term) {
+            m.probe = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/worker_reports.rs
@@ -0,0 +1,296 @@
+//! What follows from a message of a worker: a report, or the answer to a command.
+
+use std::collections::btree_map::Entry;
+use std::time::{Duration, Instant};
+
+use tracing::{debug, info};
+
+use super::job::Job;
+use super::machine::{Machine, Phase, TOKEN_BITS};
+use super::model::Model;
+use super::slot::{Slot, SlotState};
+use super::wal::Entry as Logged;
+use crate::wire::{JobId, Kind, MachineId, Report, ReportedTask, TaskId, TaskState, Why};
+
+/// A cordoned machine that is still there is tried again after so long.
+const CORDON: Duration = Duration::from_secs(45);
+
+/// What came of a message of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It is of a machine that is gone.
+    Gone,
+    /// Older than what is known.
+    Old,
+    /// Taken in.
+    Taken,
+}
+
+impl Model {
+    /// Takes in a message of a worker: a report, or the answer to a command.
+    pub fn heard(&mut self, r: &Report, now: Instant) -> Heard {
+        if self.gone.contains(&r.machine) {
+            return Heard::Gone;
+        }
+        let term = self.term;
+        let cache_gb = self
+            .types
+            .iter()
+            .find(|t| t.name == r.machine_type)
+            .map_or(f64::MAX, |t| t.cache_gb);
+        if !self.machines.contains_key(&r.machine) {
+            info!(machine = %r.machine, "unexpected machine reports, taken over");
+            self.machines
+                .insert(r.machine.clone(), Machine::new(r.machine.clone(), now));
+        }
+        let m = self.machines.get_mut(&r.machine).expect("just made");
+        if (r.session, r.seq) <= m.newest {
+            return Heard::Old;
+        }
+        m.newest = (r.session, r.seq);
+        m.heard = Some(now);
+        if m.phase == Phase::Booting {
+            m.phase = Phase::Up;
+            m.idle_since = m.idle_since.map(|_| now);
+            debug!(machine = %r.machine, zone = %r.zone, boot_s = (now - m.since).as_secs_f64(), "machine is up");
+        }
+        if m.addr != r.addr || m.machine_type != r.machine_type {
+            m.addr.clone_from(&r.addr);
+            m.machine_type.clone_from(&r.machine_type);
+            m.zone.clone_from(&r.zone);
+            m.spot = r.spot;
+            self.log.push(m.entry());
+        }
+        m.seen_token = m.seen_token.max(r.token);
+        let recall = r
+            .notice_s
+            .and_then(|s| Duration::try_from_secs_f64(s.max(0.0)).ok())
+            .map(|d| now + d);
+        if m.recall.is_none() && recall.is_some() {
+            debug!(machine = %r.machine, notice_s = r.notice_s, "spot notice");
+        }
+        m.recall = recall;
+        if !m.fenced(term) {
+            m.probe = true;
+        }
+
+        // Evidence of absence. A later session than the one that a start was
+        // sent to has killed and forgotten it, or will refuse it. Otherwise the
+        // token settles it. Sessions tell nothing of the starts of earlier
+        // terms: the first words of a machine in a term may be late copies.
+        let obeys = r.token >> TOKEN_BITS == term;
+        let mut absent = Vec::new();
+        for (task, slot) in &m.slots {
+            let here = r
+                .tasks
+                .iter()
+                .any(|t| t.task == *task && t.attempt == slot.attempt);
+            if here {
+                continue;
+            }
+            let settled = slot.start_token > 0 && r.token >= slot.start_token;
+            let new_session = slot.start_session > 0 && r.session > slot.start_session;
+            if settled || new_session {
+                absent.push(*task);
+            }
+        }
+        for task in absent {
+            debug!(%task, machine = %r.machine, "gone from its machine");
+            self.drop_slot(&r.machine, task, now);
+        }
+        for t in &r.tasks {
+            self.heard_task(r, t, obeys, cache_gb, now);
+        }
+        // A different attempt than the one that is known (`in_use` tells of
+        // it) holds the task's place until it is gone, too.
+        if obeys {
+            for t in r.tasks.iter().filter(|t| t.state != TaskState::Exited) {
+                self.hold_stray(r, t);
+            }
+        }
+        self.note_due(&r.machine);
+        Heard::Taken
+    }
+
+    pub(super) fn heard_task(
+        &mut self,
+        r: &Report,
+        t: &ReportedTask,
+        obeys: bool,
+        cache_gb: f64,
+        now: Instant,
+    ) {
+        let Some(m) = self.machines.get_mut(&r.machine) else {
+            return;
+        };
+        let mut job = self.jobs.get_mut(&t.task.job);
+        let term = self.term;
+        if let Entry::Vacant(free) = m.slots.entry(t.task) {
+            // On the machine though the log doesn't name it: of a job that is
+            // over or cancelled, or another attempt. It counts until it is
+            // gone. Words older than this term's fence may be late copies.
+            if !obeys {
+                return;
+            }
+            debug!(task = %t.task, attempt = t.attempt, machine = %r.machine, "unexpected task");
+            let spec = job.as_ref().map(|j| j.spec.clone());
+            let mut slot = Slot::unknown(t.attempt, spec, term, now);
+            slot.order_stop(Duration::ZERO, now);
+            free.insert(slot);
+            m.idle_since = None;
+            if let Some(job) = job.as_mut().filter(|j| t.task.index < j.spec.tasks) {
+                job.occupy(t.task.index, &r.machine);
+            }
+        }
+        let slot = m.slots.get_mut(&t.task).expect("just made");
+        if slot.attempt != t.attempt {
+            // An ended attempt that is not forgotten yet, beside a new one.
+            return;
+        }
+        if matches!(slot.state, SlotState::Ended(_)) {
+            return;
+        }
+        let mut failed = false;
+        match t.state {
+            TaskState::Fetching | TaskState::Waiting => slot.state = SlotState::Fetching,
+            TaskState::Saving => slot.state = SlotState::Saving,
+            TaskState::Running => {
+                slot.state = SlotState::Running;
+                slot.running_since.get_or_insert(now);
+                if let Some(job) = job.as_mut().filter(|j| t.task.index < j.spec.tasks) {
+                    job.running.insert(t.task.index);
+                }
+            }
+            TaskState::Exited => {
+                let why = t.why.unwrap_or(Why::Other);
+                slot.state = SlotState::Ended(why);
+                let ran = slot.running_since.map(|s| now - s);
+                let attempt = slot.attempt;
+                let was_stopped = slot.stop.is_some();
+                debug!(task = %t.task, attempt, machine = %r.machine, ?why, "ended");
+                m.forget_since.get_or_insert(now);
+                if why == Why::Done {
+                    m.failures = 0;
+                    m.failed_jobs.clear();
+                }
+                if let Some(job) = job {
+                    let service = job.spec.kind == Kind::Service;
+                    if why == Why::Done && !service && t.task.index < job.spec.tasks {
+                        job.finish(t.task.index);
+                        slot.outcome = self.log.push(Logged::Done(t.task.job, vec![t.task.index]));
+                        job.failures.clear();
+                        if let Some(ran) = ran {
+                            job.run_sum += ran;
+                            job.run_count += 1;
+                        }
+                    }
+                    if why == Why::Error || why == Why::Other {
+                        job.failures.record(&r.machine, ran.unwrap_or_default(), now);
+                        m.failures += 1;
+                        m.failed_jobs.insert(t.task.job);
+                        if job.on_probation(now) {
+                            job.pause_until = Some(now + job.failures.pause());
+                        }
+                        failed = true;
+                    }
+                    if why == Why::NoRoom && !was_stopped {
+                        m.full_until = Some(now + Duration::from_secs(3));
+                    }
+                    if why == Why::Unknown {
+                        job.pause_until = Some(now + Duration::from_secs(2));
+                    }
+                    job.vacate(t.task.index, &r.machine);
+                }
+                if m.empty() && m.idle_since.is_none() {
+                    m.idle_since = Some(now);
+                }
+            }
+        }
+        if failed {
+            self.judge_machine(&r.machine, now);
+            return;
+        }
+        let slot = m.slots.get(&t.task).expect("still here");
+        if let (Some(spec), SlotState::Running | SlotState::Fetching) = (&slot.spec, slot.state) {
+            let (image, gb) = (spec.image.clone(), spec.image_gb);
+            m.touch_image(&image, gb, cache_gb);
+        }
+    }
+
+    /// Cordons a machine that fails its tasks, not one on which bad jobs fail:
+    /// it takes failures of a job that is fine elsewhere, or of more jobs than
+    /// are likely to be bad at once.
+    pub(super) fn judge_machine(&mut self, id: &MachineId, now: Instant) {
+        let Some(m) = self.machines.get_mut(id).filter(|m| m.cordoned.is_none()) else {
+            return;
+        };
+        let fine = |id: &JobId| self.jobs.get(id).is_some_and(|j| j.done.count() > 0);
+        let many = m.failed_jobs.len();
+        let any_fine = m.failed_jobs.iter().any(fine);
+        if many >= 3 || any_fine && (many >= 2 || m.failures >= 3) {
+            info!(machine = %id, failures = m.failures, jobs = many, "cordoned: fails its tasks");
+            m.cordoned = Some(now);
+        }
+    }
+
+    /// Ends cordons that have lasted long enough: what ailed the machine may be
+    /// over. This doesn't wait for the machine to empty, nor does it rely on
+    /// its release, which the cloud may refuse for long: else work would wait
+    /// beside its room.
+    pub fn end_cordons(&mut self, now: Instant) {
+        let over = |m: &&mut Machine| {
+            m.cordoned
+                .is_some_and(|t| now.saturating_duration_since(t) > CORDON)
+        };
+        for m in self.machines.values_mut().filter(over) {
+            info!(machine = %m.id, "tried again after its cordon");
+            m.cordoned = None;
+            m.failed_jobs.clear();
+            m.failures = 0;
+        }
+    }
+
+    /// How many tasks of a job may be placed at once, see [`super::probation`].
+    pub fn admitted(&self, job: &Job, now: Instant) -> u32 {
+        if !job.on_probation(now) {
+            return u32::MAX;
+        }
+        let trial = job.failures.trial();
+        let survives = |slot: &&Slot| {
+            slot.running_since
+                .is_some_and(|t| now.saturating_duration_since(t) > trial)
+        };
+        let slots = job.places.iter().flat_map(|(index, machines)| {
+            let task = TaskId {
+                job: job.spec.id,
+                index: *index,
+            };
+            machines
+                .iter()
+                .filter_map(move |m| self.machines.get(m)?.slots.get(&task))
+        });
+        job.failures.admitted(slots.filter(survives).count() as u32)
+    }
+
+    pub(super) fn hold_stray(&mut self, r: &Report, t: &ReportedTask) {
+        let Some(slot) = self
+            .machines
+            .get_mut(&r.machine)
+            .and_then(|m| m.slots.get_mut(&t.task))
+        else {
+            return;
+        };
+        if slot.attempt == t.attempt {
+            return;
+        }
+        slot.stop = Some(Duration::ZERO);
+        if !matches!(slot.state, SlotState::Ended(_)) {
+            return;
+        }
+        slot.attempt = t.attempt;
+        slot.state = SlotState::Unknown;
+        if let Some(job) = self.jobs.get_mut(&t.task.job) {
+            job.occupy(t.task.index, &r.machine);
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,8 +9,9 @@
 use tracing::{debug, info};
 
 use crate::cloud::Cloud;
-use crate::core::model::{admissible, Config, Unfit};
+use crate::core::admission::{admissible, Unfit};
 use crate::core::record::{self, FinalRecord, JobRecord};
+use crate::core::Config;
 use crate::http::Http;
 use crate::leader::reign::Reign;
 use crate::peer::{Ask, Link, Reply};
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bitternfold::core::fleet::Wish;
-use bitternfold::core::model::{Config, Heard, Phase};
+use bitternfold::core::machine::Phase;
+use bitternfold::core::worker_reports::Heard;
+use bitternfold::core::Config;
 use bitternfold::core::Model;
 use bitternfold::settings::{Platform, Tuning};
 use bitternfold::wire::*;
--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -13,9 +13,9 @@
 use std::time::{Duration, Instant};
 
 use bitternfold::core::authority::{Authority, MARGIN};
-use bitternfold::core::model::Config;
 use bitternfold::core::record::JobRecord;
 use bitternfold::core::store_plan::Write;
+use bitternfold::core::Config;
 use bitternfold::core::Model;
 use bitternfold::settings::Tuning;
 use bitternfold::wire::*;
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -5,9 +5,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use bitternfold::core::model::{admissible, type_allowed, Job, SlotState, Unfit};
+use bitternfold::core::admission::{admissible, type_allowed, Unfit};
+use bitternfold::core::job::Job;
 use bitternfold::core::plan::Tier;
 use bitternfold::core::probation::FailureHistory;
+use bitternfold::core::slot::SlotState;
 use bitternfold::core::Model;
 use bitternfold::wire::*;
 use proptest::prelude::*;
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -926,7 +926,7 @@
             why: None,
             saved: None,
         }];
-        assert_eq!(m.heard(&old, now), bitternfold::core::model::Heard::Old);
+        assert_eq!(m.heard(&old, now), bitternfold::core::worker_reports::Heard::Old);
         assert!(m.machines[&id].slots.is_empty());
         assert_eq!(m.machines[&id].newest, (2, 5));
     }
@@ -1008,6 +1008,6 @@
     }
     next.load_log(now);
     let heard = next.heard(&report("i-1", "small", "north", false, 7, 9), now);
-    assert_eq!(heard, bitternfold::core::model::Heard::Gone);
+    assert_eq!(heard, bitternfold::core::worker_reports::Heard::Gone);
     assert!(next.machines.is_empty());
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bitternfold::core::model::Config;
 use bitternfold::core::record::JobRecord;
+use bitternfold::core::Config;
 use bitternfold::core::Model;
 use bitternfold::settings::{Platform, Tuning};
 use bitternfold::wire::{
