--- a/src/core/borrowed.rs
+++ b/src/core/borrowed.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use super::model::Model;
-use super::plan::{Rank, Tier, BEGIN_TASKS};
+use super::ranking::{Rank, Tier, BEGIN_TASKS};
 use super::slot::Slot;
 use crate::wire::{JobId, Kind};
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! [`model`] keeps the jobs ([`job`]) and machines ([`machine`]) of one term, and
 //! what may be where ([`slot`]). [`worker_reports`], [`worker_commands`] and
-//! [`liveness`] hold the rules of evidence, [`plan`] is PV-EASY, [`probation`]
+//! [`liveness`] hold the rules of evidence, [`plan`] is PV-EASY by the order of [`ranking`], [`probation`]
 //! holds back jobs that fail everywhere, [`fleet`] decides rentals and returns,
 //! [`wal`] and [`record`] are what survives a leader.
 
@@ -17,9 +17,12 @@
 pub mod liveness;
 pub mod machine;
 pub mod model;
+mod placement;
 pub mod plan;
 pub mod probation;
+pub mod ranking;
 pub mod record;
+mod room;
 pub mod slot;
 pub mod store_plan;
 pub mod wal;
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -7,8 +7,8 @@
 
 use bitternfold::core::admission::{admissible, type_allowed, Unfit};
 use bitternfold::core::job::Job;
-use bitternfold::core::plan::Tier;
 use bitternfold::core::probation::FailureHistory;
+use bitternfold::core::ranking::Tier;
 use bitternfold::core::slot::SlotState;
 use bitternfold::core::Model;
 use bitternfold::wire::*;
