--- a/src/api.rs
+++ b/src/api.rs
@@ -113,7 +113,7 @@
         .and(warp::path!("up"))
         .and(with.clone())
         .map(|node: Arc<Node>| {
-            respond(if node.of_use() {
+            respond(if node.can_serve() {
                 Reply::json(200, &serde_json::json!({}))
             } else {
                 Reply::later("cut off from the state service and the other controllers")
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -28,18 +28,18 @@
     pub pending: BTreeMap<String, (Offer, u32)>,
 }
 
-/// What the fleet wants of the cloud.
+/// A request to the cloud.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Wish {
+pub enum FleetAction {
     /// Rent machines.
     Rent(Rental),
     /// Give machines back.
     Release(Vec<MachineId>),
 }
 
-/// A machine that exists, boots or is to be rented, for packing.
+/// A machine that exists, boots or is to be rented, with the room left on it.
 #[derive(Clone)]
-struct Bin {
+struct OpenMachine {
     kind: usize,
     zone: String,
     spot: bool,
@@ -57,14 +57,14 @@
 /// before what turns out to be urgent.
 const MOST_PENDING: usize = 6;
 
-/// What is about to be rented, and where what there is stands.
-struct Shop<'a> {
+/// Machines about to be rented, and how many there are in each zone.
+struct RentalPlan<'a> {
     cut: &'a BTreeSet<String>,
     per_zone: BTreeMap<String, u32>,
     wanted: BTreeMap<Offer, u32>,
 }
 
-impl Shop<'_> {
+impl RentalPlan<'_> {
     fn add(&mut self, offer: Offer) {
         *self.per_zone.entry(offer.1.clone()).or_default() += 1;
         *self.wanted.entry(offer).or_default() += 1;
@@ -73,13 +73,13 @@
 
 impl Model {
     /// Decides what to rent and to return.
-    pub fn fleet(&mut self, now: Instant) -> Vec<Wish> {
+    pub fn fleet(&mut self, now: Instant) -> Vec<FleetAction> {
         if self.types.is_empty() {
             return Vec::new();
         }
         self.clear_lapsed(now);
         self.leave_noticed(now);
-        let mut wishes = Vec::new();
+        let mut actions = Vec::new();
         let release = self.to_release(now);
         if !release.is_empty() {
             info!(machines = release.len(), "releasing");
@@ -88,7 +88,11 @@
                     m.phase = Phase::Releasing;
                 }
             }
-            wishes.extend(release.chunks(MOST_RELEASED).map(|c| Wish::Release(c.to_vec())));
+            actions.extend(
+                release
+                    .chunks(MOST_RELEASED)
+                    .map(|c| FleetAction::Release(c.to_vec())),
+            );
         }
         let wanted = if self.fleet.pending.len() < MOST_PENDING {
             self.to_rent(now)
@@ -110,7 +114,7 @@
                 "renting"
             );
             self.fleet.pending.insert(request.clone(), (offer.clone(), count));
-            wishes.push(Wish::Rent(Rental {
+            actions.push(FleetAction::Rent(Rental {
                 request,
                 machine_type: offer.0,
                 zone: offer.1,
@@ -118,7 +122,7 @@
                 count,
             }));
         }
-        wishes
+        actions
     }
 
     /// Tasks on machines that the cloud takes back before they are predicted to
@@ -280,7 +284,7 @@
                 && (m.fenced(self.term) || m.slots.is_empty())
         };
         let cut = self.cut_from_workers(now);
-        let takes_none = |m: &Machine| self.is_deaf(m, now, silent_after * 2);
+        let takes_none = |m: &Machine| self.ignores_commands(m, now, silent_after * 2);
         let mut idle: Vec<&Machine> = Vec::new();
         for m in self.machines.values() {
             let why = match m.phase {
@@ -383,9 +387,9 @@
 
     /// Packs what waits onto what there is; the rest is to be rented.
     fn to_rent(&self, now: Instant) -> Vec<(Offer, u32)> {
-        let mut bins: Vec<Bin> = Vec::new();
+        let mut open_machines: Vec<OpenMachine> = Vec::new();
         let cut = self.silent_zones(now);
-        let mut shop = Shop {
+        let mut rentals = RentalPlan {
             cut: &cut,
             per_zone: BTreeMap::new(),
             wanted: BTreeMap::new(),
@@ -394,14 +398,14 @@
         let boot = self.types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
         let soon = Duration::from_secs_f64((boot * SOON_FREE).clamp(0.0, 60.0));
         for m in self.machines.values() {
-            *shop.per_zone.entry(m.zone.clone()).or_default() += 1;
+            *rentals.per_zone.entry(m.zone.clone()).or_default() += 1;
             let Some(kind) = self.kind_of(m) else { continue };
             let booting = m.phase == Phase::Booting;
             if !(booting || self.usable(m, now) && m.recall.is_none()) || cut.contains(&m.zone) {
                 continue;
             }
             let t = &self.types[kind];
-            let mut b = Bin {
+            let mut b = OpenMachine {
                 kind,
                 zone: m.zone.clone(),
                 spot: m.spot,
@@ -422,14 +426,14 @@
                 }
             }
             if b.cpus > EPS {
-                bins.push(b);
+                open_machines.push(b);
             }
         }
         let mut total = self.machines.len();
         for (offer, count) in self.fleet.pending.values() {
             total += *count as usize;
-            if let Some(b) = self.new_bin(offer) {
-                bins.extend(std::iter::repeat_n(b, *count as usize));
+            if let Some(b) = self.open_machine(offer) {
+                open_machines.extend(std::iter::repeat_n(b, *count as usize));
             }
         }
         let mut usage = self.usage();
@@ -444,39 +448,41 @@
             team_usage.cpus += f64::from(left) * s.cpus;
             team_usage.gpus += f64::from(left) * s.gpus;
             cpus_waiting += f64::from(left) * s.cpus;
-            for b in &mut bins {
-                while left > 0 && self.fits_bin(s, b) {
+            for b in &mut open_machines {
+                while left > 0 && self.fits_open_machine(s, b) {
                     b.cpus -= s.cpus;
                     b.gpus -= s.gpus;
                     b.memory -= s.memory_gb;
                     left -= 1;
                 }
             }
-            bins.retain(|b| b.cpus > EPS);
+            open_machines.retain(|b| b.cpus > EPS);
             while left > 0 && total < self.config.tuning.most_machines {
-                let Some(offer) = self.best_offer(s, left, &shop, now) else {
+                let Some(offer) = self.best_offer(s, left, &rentals, now) else {
+                    break;
+                };
+                let Some(mut b) = self.open_machine(&offer) else {
                     break;
                 };
-                let Some(mut b) = self.new_bin(&offer) else { break };
                 total += 1;
                 let before = left;
-                while left > 0 && self.fits_bin(s, &b) {
+                while left > 0 && self.fits_open_machine(s, &b) {
                     b.cpus -= s.cpus;
                     b.gpus -= s.gpus;
                     b.memory -= s.memory_gb;
                     left -= 1;
                 }
-                bins.push(b);
-                shop.add(offer);
+                open_machines.push(b);
+                rentals.add(offer);
                 if left == before {
                     break;
                 }
             }
         }
-        self.keep_warm(&bins, cpus_waiting, total, &mut shop, now);
+        self.keep_warm(&open_machines, cpus_waiting, total, &mut rentals, now);
         // In whole requests, the largest first.
         let mut out = Vec::new();
-        for (offer, mut n) in shop.wanted {
+        for (offer, mut n) in rentals.wanted {
             while n > 0 {
                 out.push((offer.clone(), n.min(MOST_RENTED)));
                 n -= n.min(MOST_RENTED);
@@ -487,9 +493,16 @@
     }
 
     /// Some free room for what comes next.
-    fn keep_warm(&self, bins: &[Bin], cpus_waiting: f64, mut total: usize, shop: &mut Shop, now: Instant) {
+    fn keep_warm(
+        &self,
+        open_machines: &[OpenMachine],
+        cpus_waiting: f64,
+        mut total: usize,
+        rentals: &mut RentalPlan,
+        now: Instant,
+    ) {
         let (_, used) = self.room(now);
-        let mut free: f64 = bins.iter().map(|b| b.cpus.max(0.0)).sum();
+        let mut free: f64 = open_machines.iter().map(|b| b.cpus.max(0.0)).sum();
         let keep = (used + cpus_waiting) * self.warm_share();
         let Some(like) = self
             .jobs
@@ -501,20 +514,20 @@
             return;
         };
         while free + EPS < keep && total < self.config.tuning.most_machines {
-            let Some(offer) = self.best_offer(&like, 1, shop, now) else {
+            let Some(offer) = self.best_offer(&like, 1, rentals, now) else {
                 break;
             };
-            let Some(b) = self.new_bin(&offer) else { break };
+            let Some(b) = self.open_machine(&offer) else { break };
             free += b.cpus;
             total += 1;
-            shop.add(offer);
+            rentals.add(offer);
         }
     }
 
-    fn new_bin(&self, offer: &Offer) -> Option<Bin> {
+    fn open_machine(&self, offer: &Offer) -> Option<OpenMachine> {
         let kind = self.types.iter().position(|t| t.name == offer.0)?;
         let t = &self.types[kind];
-        Some(Bin {
+        Some(OpenMachine {
             kind,
             zone: offer.1.clone(),
             spot: offer.2,
@@ -524,7 +537,7 @@
         })
     }
 
-    fn fits_bin(&self, s: &JobSpec, b: &Bin) -> bool {
+    fn fits_open_machine(&self, s: &JobSpec, b: &OpenMachine) -> bool {
         b.cpus + EPS >= s.cpus
             && b.gpus + EPS >= s.gpus
             && b.memory + EPS >= s.memory_gb
@@ -535,7 +548,7 @@
 
     /// The offer that runs a job's tasks for the least money, among those not
     /// refused of late; spread over the zones.
-    fn best_offer(&self, s: &JobSpec, left: u32, shop: &Shop, now: Instant) -> Option<Offer> {
+    fn best_offer(&self, s: &JobSpec, left: u32, rentals: &RentalPlan, now: Instant) -> Option<Offer> {
         let mut best: Option<((bool, f64, u32), Offer)> = None;
         for t in self.types.iter().filter(|t| type_allowed(s, t)) {
             let per = |have: f64, need: f64| if need > 0.0 { (have + EPS) / need } else { f64::MAX };
@@ -558,8 +571,8 @@
                         continue;
                     }
                     let price = if spot { t.spot_price } else { t.price };
-                    let here = shop.per_zone.get(zone).copied().unwrap_or(0);
-                    let score = (shop.cut.contains(zone), price / n, here);
+                    let here = rentals.per_zone.get(zone).copied().unwrap_or(0);
+                    let score = (rentals.cut.contains(zone), price / n, here);
                     if best.as_ref().is_none_or(|(b, _)| score < *b) {
                         best = Some((score, offer));
                     }
--- a/src/core/liveness.rs
+++ b/src/core/liveness.rs
@@ -63,7 +63,7 @@
 
     /// Whether a machine reports, by way of others, but has taken no command for
     /// so long.
-    pub fn is_deaf(&self, m: &Machine, now: Instant, long: Duration) -> bool {
+    pub fn ignores_commands(&self, m: &Machine, now: Instant, long: Duration) -> bool {
         let within = |t: Instant, d: Duration| now.saturating_duration_since(t) < d;
         m.phase == Phase::Up
             && m.heard.is_some_and(|t| within(t, self.config.report * 2))
@@ -86,7 +86,7 @@
         let deaf = self
             .machines
             .values()
-            .filter(|m| self.is_deaf(m, now, long))
+            .filter(|m| self.ignores_commands(m, now, long))
             .count();
         deaf > 2 && deaf > answer.count()
     }
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -17,7 +17,7 @@
 use super::machine::{Machine, Phase, TOKEN_BITS};
 use super::record::JobRecord;
 use super::slot::{Slot, SlotState};
-use super::wal::{Entry as Logged, Graves, Log, Replay};
+use super::wal::{Entry as Logged, Log, Replay, Tombstones};
 use crate::wire::{CloudState, JobId, JobView, ListedMachine, MachineId, MachineType, Standing, TaskId};
 
 /// Ratios of the Last Model are kept above this, so that a team's job of no
@@ -52,7 +52,7 @@
     /// Machines that a command may be due for.
     pub due: BTreeSet<MachineId>,
     /// Machines that are gone; late words of them mean nothing.
-    pub gone: Graves,
+    pub gone: Tombstones,
     /// Some task may have been started by backfilling.
     pub shadows: bool,
     /// This process has listened since then without a pause of its own.
@@ -78,7 +78,7 @@
             ratios: BTreeMap::new(),
             ratios_dirty: false,
             ratios_written: None,
-            gone: Graves::default(),
+            gone: Tombstones::default(),
             shadows: false,
             listening: None,
             attempts: 0,
@@ -253,7 +253,7 @@
             }
         }
         for id in &replay.gone {
-            self.gone.bury(id.clone());
+            self.gone.insert(id.clone());
         }
         let Replay {
             machines, mut starts, ..
@@ -389,7 +389,7 @@
             self.log.push(Logged::Gone(id.clone()));
         }
         self.due.remove(id);
-        self.gone.bury(id.clone());
+        self.gone.insert(id.clone());
     }
 
     pub(super) fn clear_machine(&mut self, id: &MachineId, now: Instant, why: &str) {
--- a/src/core/wal.rs
+++ b/src/core/wal.rs
@@ -276,23 +276,23 @@
     out
 }
 
-/// Gone machines and their names, kept so that late copies of their words
+/// Names of machines that are gone, kept so that late copies of their reports
 /// don't bring them back.
 #[derive(Debug, Default)]
-pub struct Graves {
+pub struct Tombstones {
     set: HashSet<MachineId>,
     order: VecDeque<MachineId>,
 }
 
-/// Names kept; a machine's words come late by minutes, not by days.
-const MOST_GRAVES: usize = 65_536;
+/// Names kept; a machine's reports come late by minutes, not by days.
+const MOST_TOMBSTONES: usize = 65_536;
 
-impl Graves {
-    /// Buries a machine.
-    pub fn bury(&mut self, id: MachineId) {
+impl Tombstones {
+    /// Adds a machine.
+    pub fn insert(&mut self, id: MachineId) {
         if self.set.insert(id.clone()) {
             self.order.push_back(id);
-            if self.order.len() > MOST_GRAVES {
+            if self.order.len() > MOST_TOMBSTONES {
                 if let Some(old) = self.order.pop_front() {
                     self.set.remove(&old);
                 }
--- a/src/core/worker_commands.rs
+++ b/src/core/worker_commands.rs
@@ -28,13 +28,13 @@
         // A start on its way to a task that is to be stopped: where commands don't
         // get through, it would wait out there for as long as this worker's lease
         // is renewed here. A fresh token refuses it for good.
-        let astray = m.slots.values().any(|s| {
+        let start_in_flight = m.slots.values().any(|s| {
             s.state == SlotState::Placed
                 && s.start_token > m.seen_token
                 && s.stop_at
                     .is_some_and(|t| now.saturating_duration_since(t) > patience)
         });
-        if astray {
+        if start_in_flight {
             return Some((m.fresh_token(term), Vec::new()));
         }
         if m.commanding || m.forget_since.is_none() {
@@ -196,7 +196,7 @@
     /// A command was answered, or not (`report` is `None`: unknown).
     pub fn commanded(&mut self, machine: &MachineId, report: Option<&Report>, now: Instant) {
         if let Some(r) = report.filter(|r| r.machine == *machine) {
-            self.heard(r, now);
+            self.apply_report(r, now);
         }
         let term = self.term;
         let Some(m) = self.machines.get_mut(machine) else {
--- a/src/core/worker_reports.rs
+++ b/src/core/worker_reports.rs
@@ -17,20 +17,20 @@
 
 /// What came of a message of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Heard {
+pub enum ReportOutcome {
     /// It is of a machine that is gone.
-    Gone,
+    MachineGone,
     /// Older than what is known.
-    Old,
+    Outdated,
     /// Taken in.
-    Taken,
+    Applied,
 }
 
 impl Model {
     /// Takes in a message of a worker: a report, or the answer to a command.
-    pub fn heard(&mut self, r: &Report, now: Instant) -> Heard {
+    pub fn apply_report(&mut self, r: &Report, now: Instant) -> ReportOutcome {
         if self.gone.contains(&r.machine) {
-            return Heard::Gone;
+            return ReportOutcome::MachineGone;
         }
         let term = self.term;
         let cache_gb = self
@@ -45,7 +45,7 @@
         }
         let m = self.machines.get_mut(&r.machine).expect("just made");
         if (r.session, r.seq) <= m.newest {
-            return Heard::Old;
+            return ReportOutcome::Outdated;
         }
         m.newest = (r.session, r.seq);
         m.heard = Some(now);
@@ -99,20 +99,20 @@
             self.drop_slot(&r.machine, task, now);
         }
         for t in &r.tasks {
-            self.heard_task(r, t, obeys, cache_gb, now);
+            self.apply_task_report(r, t, obeys, cache_gb, now);
         }
         // A different attempt than the one that is known (`in_use` tells of
         // it) holds the task's place until it is gone, too.
         if obeys {
             for t in r.tasks.iter().filter(|t| t.state != TaskState::Exited) {
-                self.hold_stray(r, t);
+                self.hold_unexpected_attempt(r, t);
             }
         }
         self.note_due(&r.machine);
-        Heard::Taken
+        ReportOutcome::Applied
     }
 
-    pub(super) fn heard_task(
+    pub(super) fn apply_task_report(
         &mut self,
         r: &Report,
         t: &ReportedTask,
@@ -272,7 +272,7 @@
         job.failures.admitted(slots.filter(survives).count() as u32)
     }
 
-    pub(super) fn hold_stray(&mut self, r: &Report, t: &ReportedTask) {
+    pub(super) fn hold_unexpected_attempt(&mut self, r: &Report, t: &ReportedTask) {
         let Some(slot) = self
             .machines
             .get_mut(&r.machine)
--- a/src/leader/reign.rs
+++ b/src/leader/active_leader.rs
@@ -1,4 +1,4 @@
-//! One leader's time in office: takeover, rounds, and answers.
+//! The leader of one term: takeover, scheduling rounds, and answers.
 
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, HashSet};
@@ -16,11 +16,11 @@
 
 use crate::cloud::CloudError;
 use crate::core::authority::Authority;
-use crate::core::fleet::Wish;
+use crate::core::fleet::FleetAction;
 use crate::core::machine::Phase;
 use crate::core::record::{self, JobRecord};
 use crate::core::store_plan::Write;
-use crate::core::worker_reports::Heard;
+use crate::core::worker_reports::ReportOutcome;
 use crate::core::Model;
 use crate::node::{accepted, view_reply, wall_ms, Lookup, Node, Role};
 use crate::peer::Reply;
@@ -29,7 +29,7 @@
 use crate::worker::{self, Commanded};
 
 /// Pause between two readings of all unfinished jobs.
-const HEAL_PAUSE: Duration = Duration::from_secs(15);
+const RECONCILE_INTERVAL: Duration = Duration::from_secs(15);
 /// Machines without other orders that are sent a command in one round at the
 /// most, to learn what is on them: a new leader has to ask them all, and its
 /// renewal of the lease must not wait behind them.
@@ -49,14 +49,14 @@
 
 /// Where workers were sent, to see who comes back.
 #[derive(Debug, Default)]
-struct Sent {
+struct Redirects {
     to: HashMap<MachineId, (String, Instant)>,
     avoid: HashMap<(MachineId, String), Instant>,
 }
 
-/// A term in office.
+/// The leader of one term.
 #[derive(Debug)]
-pub struct Reign {
+pub struct ActiveLeader {
     /// The term.
     pub term: u64,
     node: Arc<Node>,
@@ -74,11 +74,11 @@
     load_ended: Mutex<Option<Instant>>,
     over: AtomicBool,
     ended: Notify,
-    kick: Notify,
-    sent: Mutex<Sent>,
+    wake: Notify,
+    sent: Mutex<Redirects>,
 }
 
-impl Reign {
+impl ActiveLeader {
     /// A term that was just won by a request sent at `sent`.
     pub fn new(node: Arc<Node>, term: u64, lease: u64, sent: Instant) -> Arc<Self> {
         let most = node.platform.params.state.txn_ops;
@@ -103,7 +103,7 @@
             load_ended: Mutex::new(None),
             over: AtomicBool::new(false),
             ended: Notify::new(),
-            kick: Notify::new(),
+            wake: Notify::new(),
             sent: Mutex::default(),
             node,
         })
@@ -169,9 +169,9 @@
             }
             let mut loops = JoinSet::new();
             loops.spawn(loading.clone().watch_inbox());
-            loops.spawn(loading.clone().heal());
-            loops.spawn(loading.clone().see_types());
-            loops.spawn(loading.clone().see_machines());
+            loops.spawn(loading.clone().reconcile_jobs());
+            loops.spawn(loading.clone().refresh_machine_types());
+            loops.spawn(loading.clone().list_machines());
             loops.spawn(loading.clone().rounds());
             loops.spawn(loading.clone().keep_fleet());
             while loops.join_next().await.is_some() {}
@@ -289,7 +289,7 @@
             let mut since = revision;
             let mut all = true;
             for i in items {
-                all &= self.clone().pick_up(&i.key, i.version).await;
+                all &= self.clone().admit_from_inbox(&i.key, i.version).await;
             }
             // What couldn't be picked up is listed again soon.
             while all {
@@ -303,7 +303,7 @@
                         since = since.max(w.revision);
                         for e in w.events {
                             if let Some(key) = e.put {
-                                all &= self.clone().pick_up(&key, e.version).await;
+                                all &= self.clone().admit_from_inbox(&key, e.version).await;
                             }
                         }
                     }
@@ -317,10 +317,10 @@
 
     /// Reads all unfinished jobs again from time to time: whatever mark, watch
     /// or answer was lost, no accepted job stays unknown for longer.
-    async fn heal(self: Arc<Self>) {
+    async fn reconcile_jobs(self: Arc<Self>) {
         let mut unreadable = HashSet::new();
         loop {
-            sleep(HEAL_PAUSE).await;
+            sleep(RECONCILE_INTERVAL).await;
             let Ok((items, _)) = self.node.store.list(record::JOBS).await else {
                 continue;
             };
@@ -336,7 +336,7 @@
                     continue;
                 }
                 match serde_json::from_value::<JobRecord>(i.value) {
-                    Ok(r) => self.adopt(r, i.version),
+                    Ok(r) => self.admit(r, i.version),
                     Err(e) if unreadable.insert((i.key.clone(), i.version)) => {
                         info!(key = i.key, error = %e, "a job record can't be read; it is tried again");
                     }
@@ -347,11 +347,11 @@
     }
 
     /// False: it has to be tried again.
-    async fn pick_up(self: Arc<Self>, key: &str, version: u64) -> bool {
+    async fn admit_from_inbox(self: Arc<Self>, key: &str, version: u64) -> bool {
         let Ok(id) = key.trim_start_matches(record::INBOX).parse::<JobId>() else {
             return true;
         };
-        if !self.ingest(id).await {
+        if !self.load_job(id).await {
             return false;
         }
         self.writer.know(key, version);
@@ -367,13 +367,13 @@
     }
 
     /// Reads a job that is not known here. False: it could not be read.
-    async fn ingest(&self, id: JobId) -> bool {
+    async fn load_job(&self, id: JobId) -> bool {
         if self.model.lock().jobs.contains_key(&id) || self.node.finals.lock().view(id).is_some() {
             return true;
         }
         match self.node.lookup(id).await {
             Ok(Lookup::Active(r, version)) => {
-                self.adopt(*r, version);
+                self.admit(*r, version);
                 true
             }
             Ok(_) => true,
@@ -381,7 +381,7 @@
         }
     }
 
-    fn adopt(&self, r: JobRecord, version: u64) {
+    fn admit(&self, r: JobRecord, version: u64) {
         let id = r.spec.id;
         let now = Instant::now();
         let age = Duration::from_millis(wall_ms().saturating_sub(r.at));
@@ -394,10 +394,10 @@
         info!(job = %id, "picked up");
         m.add_job(r, now.checked_sub(age).unwrap_or(now));
         drop(m);
-        self.kick.notify_one();
+        self.wake.notify_one();
     }
 
-    async fn see_types(self: Arc<Self>) {
+    async fn refresh_machine_types(self: Arc<Self>) {
         loop {
             let wait = match self.node.cloud.machine_types().await {
                 Ok(types) if !types.is_empty() => {
@@ -426,7 +426,7 @@
                                     .await;
                             }
                         }
-                        self.kick.notify_one();
+                        self.wake.notify_one();
                     }
                     Duration::from_secs(30)
                 }
@@ -436,13 +436,13 @@
         }
     }
 
-    async fn see_machines(self: Arc<Self>) {
+    async fn list_machines(self: Arc<Self>) {
         loop {
             let mut pages = 1;
             if let Ok(list) = self.node.cloud.machines().await {
                 pages += list.len() as u32 / 500;
                 self.model.lock().listed(&list, Instant::now());
-                self.kick.notify_one();
+                self.wake.notify_one();
             }
             // A long list is read less often: rentals and releases share the
             // cloud's rate with it.
@@ -453,7 +453,7 @@
     async fn keep_fleet(self: Arc<Self>) {
         loop {
             sleep(Duration::from_millis(1000)).await;
-            self.node.check_pulse();
+            self.node.check_for_stall();
             if !self.may_act() {
                 continue;
             }
@@ -462,18 +462,18 @@
                 info!(term = self.term, "resigning: workers take no commands from here");
                 return self.end();
             }
-            let wishes = self.model.lock().fleet(Instant::now());
-            for wish in wishes {
-                let reign = self.clone();
-                tokio::spawn(async move { reign.grant(wish).await });
+            let actions = self.model.lock().fleet(Instant::now());
+            for action in actions {
+                let active_leader = self.clone();
+                tokio::spawn(async move { active_leader.grant(action).await });
             }
         }
     }
 
-    async fn grant(&self, wish: Wish) {
+    async fn grant(&self, action: FleetAction) {
         let cloud = &self.node.cloud;
-        match wish {
-            Wish::Rent(rental) => {
+        match action {
+            FleetAction::Rent(rental) => {
                 let mut tries = 0;
                 loop {
                     if !self.may_act() {
@@ -499,7 +499,7 @@
                     }
                 }
             }
-            Wish::Release(ids) => {
+            FleetAction::Release(ids) => {
                 let ok = match cloud.release(&ids, || self.may_act()).await {
                     Ok(()) => true,
                     Err(e) => {
@@ -510,13 +510,13 @@
                 self.model.lock().release_done(&ids, ok, Instant::now());
             }
         }
-        self.kick.notify_one();
+        self.wake.notify_one();
     }
 
     async fn rounds(self: Arc<Self>) {
         loop {
-            let _ = timeout(Duration::from_millis(500), self.kick.notified()).await;
-            self.node.check_pulse();
+            let _ = timeout(Duration::from_millis(500), self.wake.notified()).await;
+            self.node.check_for_stall();
             let began = Instant::now();
             if self.may_act() {
                 self.round();
@@ -548,14 +548,14 @@
         let commands = m.commands(now, PROBES.min(self.node.sockets.commands_free() / 2));
         drop(m);
         for w in writes {
-            let reign = self.clone();
-            tokio::spawn(async move { reign.write(w).await });
+            let active_leader = self.clone();
+            tokio::spawn(async move { active_leader.write(w).await });
         }
         for (id, addr, c) in commands {
-            let reign = self.clone();
+            let active_leader = self.clone();
             tokio::spawn(async move {
-                let sockets = &reign.node.sockets;
-                let outcome = worker::command(sockets, &addr, &c, || reign.may_act()).await;
+                let sockets = &active_leader.node.sockets;
+                let outcome = worker::command(sockets, &addr, &c, || active_leader.may_act()).await;
                 let report = match &outcome {
                     Commanded::Done(r) | Commanded::Refused(r) => Some(r),
                     Commanded::Unknown => None,
@@ -563,8 +563,8 @@
                 if let Commanded::Refused(r) = &outcome {
                     debug!(machine = %id, token = c.token, seen = r.token, session = r.session, "command refused");
                 }
-                reign.model.lock().commanded(&id, report, Instant::now());
-                reign.kick.notify_one();
+                active_leader.model.lock().commanded(&id, report, Instant::now());
+                active_leader.wake.notify_one();
             });
         }
     }
@@ -587,7 +587,7 @@
             debug!(job = %id, state = ?record.state, "finished");
         }
         self.model.lock().written(&w, ok, Instant::now());
-        self.kick.notify_one();
+        self.wake.notify_one();
     }
 
     // ---- users ---------------------------------------------------------
@@ -621,8 +621,8 @@
         if self.writer.urgent_waiting() as f64 > within {
             return Reply::later("too many jobs are being stored");
         }
-        let reign = self.clone();
-        let stored = tokio::spawn(async move { reign.accept(rec).await });
+        let active_leader = self.clone();
+        let stored = tokio::spawn(async move { active_leader.accept(rec).await });
         match timeout(STORED_WITHIN, stored).await {
             Ok(Ok(Ok(()))) => accepted(id, 201),
             Ok(Ok(Err(CommitError::Conflict(_)))) => {
@@ -646,7 +646,7 @@
         let s: &JobSpec = &rec.spec;
         debug!(job = %id, team = s.team, class = s.class, tasks = s.tasks, cpus = s.cpus, "accepted");
         self.model.lock().add_job(rec, Instant::now());
-        self.kick.notify_one();
+        self.wake.notify_one();
         Ok(())
     }
 
@@ -678,7 +678,7 @@
             Ok(Lookup::Absent) => otherwise,
             Ok(Lookup::Active(r, version)) => {
                 let reply = view_reply(id, &Lookup::Active(r.clone(), version));
-                self.adopt(*r, version);
+                self.admit(*r, version);
                 reply
             }
             Ok(l) => view_reply(id, &l),
@@ -699,11 +699,11 @@
         if !self.may_act() {
             return Reply::later("leadership is in doubt");
         }
-        if !self.ingest(id).await {
+        if !self.load_job(id).await {
             return Reply::later("the job's state can't be read now");
         }
-        let reign = self.clone();
-        let work = tokio::spawn(async move { reign.cancel_stored(id).await });
+        let active_leader = self.clone();
+        let work = tokio::spawn(async move { active_leader.cancel_stored(id).await });
         match timeout(STORED_WITHIN, work).await {
             Ok(Ok(reply)) => reply,
             _ => Reply::later("the cancellation can't be stored now"),
@@ -742,14 +742,14 @@
                 }
             }
         };
-        self.kick.notify_one();
+        self.wake.notify_one();
         if let Some(record) = record {
             if !self.store_cancellation(id, &record).await {
                 return Reply::later("the cancellation can't be stored now");
             }
             info!(job = %id, "cancelled");
             self.model.lock().cancel_stored(id);
-            self.kick.notify_one();
+            self.wake.notify_one();
         }
         match self.known(id) {
             Some(r) => r,
@@ -824,24 +824,26 @@
         let may_act = self.may_act();
         let (heard, answer, stops) = {
             let mut m = self.model.lock();
-            let heard = m.heard(&r, now);
+            let heard = m.apply_report(&r, now);
             let known = m.machines.get(&r.machine);
             if known.is_some_and(|m| m.phase == Phase::Releasing) {
                 return Reply::later("this machine is being returned");
             }
             match heard {
-                Heard::Gone => return Reply::later("this machine was returned"),
+                ReportOutcome::MachineGone => return Reply::later("this machine was returned"),
                 // A command's answer has overtaken it, or it is a late copy,
                 // whose answer reaches nobody.
-                Heard::Old if known.is_none_or(|m| m.newest.0 != r.session || m.session_over(r.session)) => {
+                ReportOutcome::Outdated
+                    if known.is_none_or(|m| m.newest.0 != r.session || m.session_over(r.session)) =>
+                {
                     return Reply::later("an older report")
                 }
-                Heard::Old | Heard::Taken => {}
+                ReportOutcome::Outdated | ReportOutcome::Applied => {}
             }
             (heard, m.reply(&r.machine, r.token, now), m.stops(&r))
         };
-        if heard == Heard::Taken {
-            self.kick.notify_one();
+        if heard == ReportOutcome::Applied {
+            self.wake.notify_one();
         }
         let Some((token, commands)) = answer else {
             // Only an elected one gives out such tokens.
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -5,7 +5,7 @@
 //! though the key comes and goes. The leader's right ends, by its own steady
 //! clock, one life of the lease after its last successful renewal was sent.
 
-pub mod reign;
+pub mod active_leader;
 
 use std::io;
 use std::sync::Arc;
@@ -18,11 +18,11 @@
 use crate::api::Patience;
 use crate::core::record::{LeaderRecord, LEADER};
 use crate::node::{Node, Role};
-use crate::pulse::BEAT;
 use crate::settings::{Platform, Tuning};
+use crate::stall::TICK;
 use crate::store::StoreError;
 use crate::wire::{Change, Guard, Item, Transaction};
-use reign::Reign;
+use active_leader::ActiveLeader;
 
 /// Runs one controller for ever.
 pub async fn run(platform: Platform, tuning: Tuning) -> io::Result<()> {
@@ -42,19 +42,19 @@
         tokio::spawn(link.clone().run(node.clone()));
     }
     tokio::spawn(crate::peer::listen(back, node.clone()));
-    tokio::spawn(campaign(node.clone()));
-    tokio::spawn(beat(node.clone()));
+    tokio::spawn(run_elections(node.clone()));
+    tokio::spawn(watch_for_stalls(node.clone()));
     let patience = Patience::new(node.platform.params.workers.report);
     crate::api::serve(api, node, patience).await;
     Ok(())
 }
 
 /// Measures how late the process's own timer fires.
-async fn beat(node: Arc<Node>) {
+async fn watch_for_stalls(node: Arc<Node>) {
     loop {
-        sleep(BEAT).await;
-        node.check_pulse();
-        node.pulse.beat(Instant::now());
+        sleep(TICK).await;
+        node.check_for_stall();
+        node.stall_detector.tick(Instant::now());
     }
 }
 
@@ -63,16 +63,16 @@
 }
 
 /// Follows the leader's key; leads when it can.
-async fn campaign(node: Arc<Node>) {
+async fn run_elections(node: Arc<Node>) {
     loop {
         match node.store.get(LEADER).await {
             Ok(Ok(item)) => match record_of(&item) {
                 // Our earlier self is dead: its key may be replaced at once.
-                Some(r) if r.host == node.host() => stand(&node, item.version).await,
+                Some(r) if r.host == node.host() => run_for_leader(&node, item.version).await,
                 Some(r) => follow(&node, &r, item.version).await,
-                None => stand(&node, item.version).await,
+                None => run_for_leader(&node, item.version).await,
             },
-            Ok(Err(_)) => stand(&node, 0).await,
+            Ok(Err(_)) => run_for_leader(&node, 0).await,
             Err(e) => {
                 debug!(error = %e, "can't read who leads");
                 sleep(Duration::from_millis(300)).await;
@@ -84,7 +84,7 @@
 /// Follows a leader until its key changes or can't be watched.
 async fn follow(node: &Arc<Node>, leader: &LeaderRecord, version: u64) {
     info!(leader = leader.host, term = version, "following");
-    node.term_seen(version);
+    node.observe_term(version);
     node.set_role(Role::Following {
         host: leader.host.clone(),
         term: version,
@@ -111,7 +111,7 @@
 }
 
 /// Stands for election, and leads if elected.
-async fn stand(node: &Arc<Node>, version: u64) {
+async fn run_for_leader(node: &Arc<Node>, version: u64) {
     let life = node.tuning.leader_lease;
     let sent = Instant::now();
     let lease = match node.store.grant_lease(life).await {
@@ -162,9 +162,9 @@
         return sleep(Duration::from_millis(100)).await;
     };
     info!(term, "elected");
-    node.term_seen(term);
-    let reign = Reign::new(node.clone(), term, lease, sent);
-    reign.clone().lead().await;
+    node.observe_term(term);
+    let active_leader = ActiveLeader::new(node.clone(), term, lease, sent);
+    active_leader.clone().lead().await;
     node.set_role(Role::Unknown);
     info!(term, "no longer leading");
     // Another is to have the first try: this one may have given up for want
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,11 +13,11 @@
 use crate::core::record::{self, FinalRecord, JobRecord};
 use crate::core::Config;
 use crate::http::Http;
-use crate::leader::reign::Reign;
+use crate::leader::active_leader::ActiveLeader;
 use crate::peer::{Ask, Link, Reply};
-use crate::pulse::Pulse;
 use crate::settings::{Platform, Tuning};
 use crate::sockets::Sockets;
+use crate::stall::StallDetector;
 use crate::store::{Store, StoreError};
 use crate::wire::{Change, Guard, JobId, JobSpec, JobView, MachineType, Redirect, Standing, Transaction};
 
@@ -39,7 +39,7 @@
         term: u64,
     },
     /// This one.
-    Leading(Arc<Reign>),
+    Leading(Arc<ActiveLeader>),
 }
 
 /// Final states of jobs: once known they hold for ever.
@@ -102,7 +102,7 @@
     /// The budget of sockets.
     pub sockets: Sockets,
     /// Whether this process runs as it should.
-    pub pulse: Pulse,
+    pub stall_detector: StallDetector,
     /// Links to the other controllers.
     pub links: Vec<Arc<Link>>,
     /// Final states.
@@ -168,7 +168,7 @@
             config: Arc::new(Config::new(&platform, tuning.clone())),
             nonce: rand::random(),
             sockets: Sockets::new(platform.params.limits.sockets),
-            pulse: Pulse::new(Instant::now()),
+            stall_detector: StallDetector::new(Instant::now()),
             store: Arc::new(store),
             cloud: Arc::new(cloud),
             links,
@@ -205,7 +205,7 @@
     }
 
     /// Notes a term. A leader of an older one steps down.
-    pub fn term_seen(&self, term: u64) {
+    pub fn observe_term(&self, term: u64) {
         {
             let mut known = self.term.lock();
             if term <= *known {
@@ -214,24 +214,28 @@
             *known = term;
         }
         let role = self.role();
-        if let Role::Leading(reign) = role {
-            if reign.term < term {
-                info!(term = reign.term, newer = term, "another leads in a newer term");
-                reign.end();
+        if let Role::Leading(active_leader) = role {
+            if active_leader.term < term {
+                info!(
+                    term = active_leader.term,
+                    newer = term,
+                    "another leads in a newer term"
+                );
+                active_leader.end();
             }
         }
     }
 
     /// Notices that the process has stood still. Asked wherever something is
     /// about to follow from what was heard, or not heard, of late.
-    pub fn check_pulse(&self) {
+    pub fn check_for_stall(&self) {
         let now = Instant::now();
-        let Some(still) = self.pulse.stood_still(now) else {
+        let Some(still) = self.stall_detector.take_stall(now) else {
             return;
         };
         info!(for_s = still.as_secs_f64(), "this process stood still");
-        if let Role::Leading(reign) = self.role() {
-            reign.woke(now);
+        if let Role::Leading(active_leader) = self.role() {
+            active_leader.woke(now);
         }
     }
 
@@ -246,7 +250,7 @@
 
     /// Another controller tells who leads. One that can't read the state
     /// service itself still finds the leader so.
-    pub fn leader_told(&self, leader: Option<(u64, String)>) {
+    pub fn observe_leader(&self, leader: Option<(u64, String)>) {
         let Some((term, host)) = leader.filter(|(_, h)| h != self.host()) else {
             return;
         };
@@ -264,12 +268,12 @@
 
     /// Whether this controller can be of use to a user: it leads, or another
     /// can be asked, or the state service can.
-    pub fn of_use(&self) -> bool {
-        self.reign().is_some() || self.links.iter().any(|l| l.alive()) || self.store.reachable()
+    pub fn can_serve(&self) -> bool {
+        self.active_leader().is_some() || self.links.iter().any(|l| l.alive()) || self.store.reachable()
     }
 
-    /// The reign, if this one leads and may act now.
-    fn reign(&self) -> Option<Arc<Reign>> {
+    /// The active_leader, if this one leads and may act now.
+    fn active_leader(&self) -> Option<Arc<ActiveLeader>> {
         match self.role() {
             Role::Leading(r) if r.may_act() => Some(r),
             _ => None,
@@ -277,7 +281,7 @@
     }
 
     /// Another controller's link spoke.
-    pub fn heard_peer(&self, host: &str) {
+    pub fn peer_alive(&self, host: &str) {
         self.peers.lock().insert(host.to_owned(), Instant::now());
     }
 
@@ -312,17 +316,17 @@
         if let Ask::Report(body) = ask {
             return self.answer_report(from, &body);
         }
-        let Some(reign) = self.reign() else {
+        let Some(active_leader) = self.active_leader() else {
             return Reply::not_leading();
         };
         match ask {
-            Ask::Submit(body) => reign.submit(&body).await,
+            Ask::Submit(body) => active_leader.submit(&body).await,
             Ask::Poll(id) => match id.parse() {
-                Ok(id) => reign.poll(id).await,
+                Ok(id) => active_leader.poll(id).await,
                 Err(_) => Reply::error(404, "no such job"),
             },
             Ask::Cancel(id) => match id.parse() {
-                Ok(id) => reign.cancel(id).await,
+                Ok(id) => active_leader.cancel(id).await,
                 Err(_) => Reply::error(404, "no such job"),
             },
             Ask::Ping { .. } | Ask::Report(_) => Reply::not_leading(),
@@ -331,9 +335,9 @@
 
     /// Answers a report that another controller passes on.
     pub fn answer_report(&self, from: &str, body: &[u8]) -> Reply {
-        self.check_pulse();
+        self.check_for_stall();
         match self.role() {
-            Role::Leading(reign) => reign.report(body, from),
+            Role::Leading(active_leader) => active_leader.report(body, from),
             _ => Reply::not_leading(),
         }
     }
@@ -342,9 +346,9 @@
 
     /// A submission.
     pub async fn submit(&self, body: &[u8]) -> Reply {
-        self.check_pulse();
-        if let Some(reign) = self.reign() {
-            return reign.submit(body).await;
+        self.check_for_stall();
+        if let Some(active_leader) = self.active_leader() {
+            return active_leader.submit(body).await;
         }
         if let Some(view) = id_in(body).and_then(|id| self.finals.lock().view(id)) {
             return Reply::json(200, &view);
@@ -360,15 +364,15 @@
 
     /// A poll.
     pub async fn poll(&self, id: JobId) -> Reply {
-        self.check_pulse();
-        if self.pulse.strained(Instant::now()) {
+        self.check_for_stall();
+        if self.stall_detector.overloaded(Instant::now()) {
             return match self.finals.lock().view(id) {
                 Some(view) => Reply::json(200, &view),
                 None => Reply::later("too much to do"),
             };
         }
-        if let Some(reign) = self.reign() {
-            return reign.poll(id).await;
+        if let Some(active_leader) = self.active_leader() {
+            return active_leader.poll(id).await;
         }
         if let Some(view) = self.finals.lock().view(id) {
             return Reply::json(200, &view);
@@ -402,8 +406,8 @@
 
     /// A cancellation. Only the leader can take it.
     pub async fn cancel(&self, id: JobId) -> Reply {
-        if let Some(reign) = self.reign() {
-            return reign.cancel(id).await;
+        if let Some(active_leader) = self.active_leader() {
+            return active_leader.cancel(id).await;
         }
         if let Some(view) = self.finals.lock().view(id) {
             return Reply::json(200, &view);
@@ -570,9 +574,9 @@
 
     /// A worker's report, relayed to the leader if that is another.
     pub async fn report(&self, body: &[u8]) -> Reply {
-        self.check_pulse();
+        self.check_for_stall();
         match self.role() {
-            Role::Leading(reign) => reign.report(body, self.host()),
+            Role::Leading(active_leader) => active_leader.report(body, self.host()),
             Role::Following { .. } => self
                 .ask_leader(Ask::Report(body.to_vec()), Duration::from_millis(2500))
                 .await
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -220,14 +220,14 @@
                 *self.heard.lock() = Some(Instant::now());
                 match frame {
                     Frame::Answer { id, term, reply } => {
-                        node.term_seen(term);
+                        node.observe_term(term);
                         if let Some(tx) = pending.lock().remove(&id) {
                             let _ = tx.send(reply);
                         }
                     }
                     Frame::Pong { term, leader } => {
-                        node.term_seen(term);
-                        node.leader_told(leader);
+                        node.observe_term(term);
+                        node.observe_leader(leader);
                     }
                     Frame::Hello { .. } | Frame::Ask { .. } => {}
                 }
@@ -303,10 +303,10 @@
             let frame = timeout(SILENCE, read_frame(&mut read))
                 .await
                 .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-            node.heard_peer(&host);
+            node.peer_alive(&host);
             let Frame::Ask { id, ask } = frame else { continue };
             if let Ask::Ping { term } = ask {
-                node.term_seen(term);
+                node.observe_term(term);
                 let (term, leader) = (node.known_term(), node.known_leader());
                 let _ = tx.try_send(Frame::Pong { term, leader });
                 continue;
--- a/src/pulse.rs
+++ b/src/stall.rs
@@ -1,4 +1,4 @@
-//! Whether this process runs as it should. A controller may stand still for
+//! Detects stalls and overload of this process. A controller may stand still for
 //! seconds while its clocks run on, or get less of the processor than it needs;
 //! both show in how late its own timer fires.
 
@@ -6,24 +6,24 @@
 
 use parking_lot::Mutex;
 
-/// Pause between two beats.
-pub const BEAT: Duration = Duration::from_millis(100);
-/// A beat that is so late means that the process stood still.
-const STILL: Duration = Duration::from_secs(1);
+/// Interval of the timer.
+pub const TICK: Duration = Duration::from_millis(100);
+/// A tick that is so late means that the process stood still.
+const STALLED_AFTER: Duration = Duration::from_secs(1);
 /// So late, it has more to do than it can: polls are put off, at once and before
 /// they cost much. Submissions, cancellations and reports never are: what can't be
-/// stored in time is refused by the store's backlog. A further step at a later beat
+/// stored in time is refused by the store's backlog. A further step at a later tick
 /// would never be reached, as that counts as a standstill.
-const STRAINED: Duration = Duration::from_millis(400);
+const OVERLOADED_AFTER: Duration = Duration::from_millis(400);
 
-/// The last beat, and how late it was.
+/// The last tick, and how late it was.
 #[derive(Debug)]
-pub struct Pulse {
+pub struct StallDetector {
     last: Mutex<(Instant, Duration)>,
 }
 
-impl Pulse {
-    /// Beats from now on.
+impl StallDetector {
+    /// Starts now.
     pub fn new(now: Instant) -> Self {
         Self {
             last: Mutex::new((now, Duration::ZERO)),
@@ -31,17 +31,17 @@
     }
 
     /// The timer fired.
-    pub fn beat(&self, now: Instant) {
+    pub fn tick(&self, now: Instant) {
         let mut last = self.last.lock();
-        let late = now.saturating_duration_since(last.0 + BEAT);
+        let late = now.saturating_duration_since(last.0 + TICK);
         *last = (last.0.max(now), late);
     }
 
     /// If the process has stood still until now: for how long. Says so once.
-    pub fn stood_still(&self, now: Instant) -> Option<Duration> {
+    pub fn take_stall(&self, now: Instant) -> Option<Duration> {
         let mut last = self.last.lock();
-        let late = now.saturating_duration_since(last.0 + BEAT);
-        (late > STILL).then(|| {
+        let late = now.saturating_duration_since(last.0 + TICK);
+        (late > STALLED_AFTER).then(|| {
             *last = (now, Duration::ZERO);
             late
         })
@@ -49,8 +49,8 @@
 
     /// Whether there is more to do than can be done, by how late the timer fires
     /// or is due.
-    pub fn strained(&self, now: Instant) -> bool {
+    pub fn overloaded(&self, now: Instant) -> bool {
         let last = self.last.lock();
-        last.1.max(now.saturating_duration_since(last.0 + BEAT)) > STRAINED
+        last.1.max(now.saturating_duration_since(last.0 + TICK)) > OVERLOADED_AFTER
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bitternfold::core::fleet::Wish;
+use bitternfold::core::fleet::FleetAction;
 use bitternfold::core::machine::Phase;
-use bitternfold::core::worker_reports::Heard;
+use bitternfold::core::worker_reports::ReportOutcome;
 use bitternfold::core::Config;
 use bitternfold::core::Model;
 use bitternfold::settings::{Platform, Tuning};
@@ -18,8 +18,8 @@
     m.fleet(now)
         .into_iter()
         .filter_map(|w| match w {
-            Wish::Release(ids) => Some(ids),
-            Wish::Rent(_) => None,
+            FleetAction::Release(ids) => Some(ids),
+            FleetAction::Rent(_) => None,
         })
         .flatten()
         .map(|id| id.to_string())
@@ -32,7 +32,7 @@
     m.add_job(record(job(1, 2 * per_zone as u32, 8.0)), now);
     for zone in ["north", "south"] {
         for i in 0..per_zone {
-            m.heard(&report(&format!("i-{zone}-{i}"), "small", zone, false, 7, 1), now);
+            m.apply_report(&report(&format!("i-{zone}-{i}"), "small", zone, false, 7, 1), now);
         }
     }
     m.plan(now);
@@ -59,7 +59,7 @@
         let mut r = report(&id, "small", zone, false, 7, seq);
         r.token = m.machines[&id].seen_token;
         r.tasks = running(m, &id);
-        m.heard(&r, now);
+        m.apply_report(&r, now);
         m.reply(&id, r.token, now);
     }
 }
@@ -92,11 +92,11 @@
     let id = MachineId::from("i-south-0");
     let mut late = report(&id, "small", "south", false, 7, 30);
     late.token = m.machines[&id].seen_token;
-    assert_eq!(m.heard(&late, now + secs(23)), Heard::Old);
+    assert_eq!(m.apply_report(&late, now + secs(23)), ReportOutcome::Outdated);
     assert!(m.machines[&id].session_over(1));
     late.session = 2;
     late.seq = 1;
-    assert_eq!(m.heard(&late, now + secs(24)), Heard::Taken);
+    assert_eq!(m.apply_report(&late, now + secs(24)), ReportOutcome::Applied);
     // One that is still silent long after is given up.
     speak(&mut m, "north", 50, now + secs(75));
     let gone = released(&mut m, now + secs(75));
@@ -137,7 +137,7 @@
         m.types = types();
         let now = start();
         for i in 0..4 {
-            m.heard(&report(&format!("i-{i}"), "small", "north", true, 7, 1), now);
+            m.apply_report(&report(&format!("i-{i}"), "small", "north", true, 7, 1), now);
         }
         // They are warm room for a job that needs them soon.
         m.add_job(record(job(1, 40, 8.0)), now);
@@ -155,13 +155,13 @@
         r.token = m.machines[&id].seen_token;
         r.tasks = running(m, &id);
         r.notice_s = Some(recall);
-        m.heard(&r, now);
+        m.apply_report(&r, now);
         m.fleet(now);
         m.machines[&id].slots.values().any(|s| s.stop.is_some())
     };
     // No room elsewhere: it may still end in time.
     assert!(!noticed(&mut m, 10, 15.0, now + secs(1)));
-    m.heard(&report("i-spare", "small", "north", false, 7, 1), now + secs(1));
+    m.apply_report(&report("i-spare", "small", "north", false, 7, 1), now + secs(1));
     // Predicted to run 60 s: 50 s may do, 15 s will not.
     assert!(!noticed(&mut m, 11, 50.0, now + secs(1)));
     assert!(noticed(&mut m, 12, 15.0, now + secs(1)));
@@ -183,11 +183,11 @@
     // A later session than its start was sent to: the task is gone.
     let mut r = report(&id, "small", "south", false, 7, 1);
     r.session = 2;
-    m.heard(&r, now + secs(12));
+    m.apply_report(&r, now + secs(12));
     assert!(m.machines[&id].slots.is_empty());
     for s in 13..30 {
         r.seq += 1;
-        m.heard(&r, now + secs(s));
+        m.apply_report(&r, now + secs(s));
         speak(&mut m, "north", s * 10, now + secs(s));
         speak(&mut m, "south", s * 10, now + secs(s));
     }
@@ -225,7 +225,7 @@
             let mut r = report(id, "small", "north", false, 7, 30 + s);
             r.token = m.machines[id].seen_token;
             r.tasks = running(&m, id);
-            m.heard(&r, woke + secs(s));
+            m.apply_report(&r, woke + secs(s));
             m.reply(id, r.token, woke + secs(s));
         }
     }
@@ -255,10 +255,10 @@
     let idle_fleet = || {
         let mut m = model(7);
         for i in 0..20 {
-            m.heard(&report(&format!("i-{i:02}"), "small", "north", false, 7, 1), now);
+            m.apply_report(&report(&format!("i-{i:02}"), "small", "north", false, 7, 1), now);
         }
         for i in 0..20 {
-            m.heard(
+            m.apply_report(
                 &report(&format!("i-{i:02}"), "small", "north", false, 7, 2),
                 later,
             );
--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -350,7 +350,7 @@
             if !l.authority.may_renew_leases(now) {
                 continue;
             }
-            l.model.heard(&r, now);
+            l.model.apply_report(&r, now);
             let Some((token, mut orders)) = l.model.reply(&r.machine, r.token, now) else {
                 l.over = true;
                 continue;
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -17,7 +17,7 @@
 
 /// Adds a machine that may be placed on.
 fn add(m: &mut Model, id: &str, kind: &str, zone: &str, spot: bool, now: Instant) {
-    m.heard(&report(id, kind, zone, spot, m.term, 1), now);
+    m.apply_report(&report(id, kind, zone, spot, m.term, 1), now);
 }
 
 fn tasks_on(m: &Model, id: &str) -> Vec<String> {
@@ -156,7 +156,7 @@
                 }
             })
             .collect();
-        m.heard(&r, t);
+        m.apply_report(&r, t);
     }
     m.plan(t);
     for x in m.machines.values_mut().flat_map(|x| x.slots.values_mut()) {
@@ -463,7 +463,7 @@
             saved: None,
         });
     }
-    m.heard(&r, now + secs(2));
+    m.apply_report(&r, now + secs(2));
     let round = m.plan(now + secs(2));
     assert_eq!((round.preempted, round.in_order), (1, 1));
     // The stop goes out before the start, in one command.
@@ -521,15 +521,15 @@
             why: None,
             saved: None,
         }];
-        m.heard(&r, base);
+        m.apply_report(&r, base);
         r.seq += 1;
         r.tasks[0].state = TaskState::Exited;
         r.tasks[0].why = Some(why);
-        m.heard(&r, base + secs(ran));
+        m.apply_report(&r, base + secs(ran));
         r.seq += 1;
         r.tasks.clear();
         r.token = (1 << 20) + 900;
-        m.heard(&r, base + secs(ran));
+        m.apply_report(&r, base + secs(ran));
         seq = r.seq + 1;
         let w = m.take_writes(base + secs(ran));
         w.iter().for_each(|w| m.written(w, true, base));
@@ -594,11 +594,11 @@
     for t in &mut r.tasks {
         (t.state, t.why) = (TaskState::Exited, Some(why));
     }
-    m.heard(&r, now);
+    m.apply_report(&r, now);
     // Forgotten by the worker, too.
     let mut r = report(machine, "small", "north", false, 1, seq + 1);
     r.token = (1 << 20) + 500_000;
-    m.heard(&r, now);
+    m.apply_report(&r, now);
 }
 
 #[test]
@@ -684,7 +684,7 @@
     m.plan(now);
     let mut r = report("i-1", "small", "north", false, 1, 2);
     r.tasks = running(&m, &"i-1".into());
-    m.heard(&r, now + secs(1));
+    m.apply_report(&r, now + secs(1));
     for id in &ids[1..] {
         all_ended(&mut m, id, Why::Error, 2, now + secs(2));
     }
@@ -724,7 +724,7 @@
         assert_eq!(tasks_on(&m, "i-1").len(), usize::from(busy), "still cordoned");
         let mut r = report("i-1", "small", "north", false, 1, 9);
         r.tasks = running(&m, &id);
-        m.heard(&r, now + secs(60));
+        m.apply_report(&r, now + secs(60));
         m.plan(now + secs(60));
         assert_eq!(tasks_on(&m, "i-1").len(), 1 + usize::from(busy));
     }
@@ -755,7 +755,7 @@
         let id = format!("i-{i}");
         let mut r = report(&id, "small", "north", false, 5, 2);
         r.tasks = running(&m, &id.as_str().into());
-        m.heard(&r, later);
+        m.apply_report(&r, later);
     }
     let mut spec = job(2, 3, 4.0);
     spec.deadline_s = Some(120.0);
@@ -815,7 +815,7 @@
         let id = format!("i-{i}");
         let mut r = report(&id, "small", "north", false, 5, 3);
         r.tasks = running(&m, &id.as_str().into());
-        m.heard(&r, at);
+        m.apply_report(&r, at);
     }
     m.add_job(record(again), at);
     m.plan(at);
@@ -859,7 +859,7 @@
             } else {
                 fetching(m, &here)
             };
-            m.heard(&r, at);
+            m.apply_report(&r, at);
         }
         m.plan(at);
         placed.push(m.jobs.values().next().expect("the job").placed);
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -4,23 +4,23 @@
 use std::time::{Duration, Instant};
 
 use bitternfold::peer::{next_for, MOST_BATCH};
-use bitternfold::pulse::{Pulse, BEAT};
+use bitternfold::stall::{StallDetector, TICK};
 
 #[test]
 fn a_standstill_is_told_once_and_strain_passes() {
     let t = Instant::now();
-    let p = Pulse::new(t);
-    p.beat(t + BEAT);
-    assert!(p.stood_still(t + BEAT * 2).is_none() && !p.strained(t + BEAT * 2));
-    let late = t + BEAT * 2 + Duration::from_millis(600);
-    assert!(p.strained(late), "even before the timer fires");
-    p.beat(late);
-    assert!(p.strained(late) && p.stood_still(late).is_none());
-    p.beat(late + BEAT);
-    assert!(!p.strained(late + BEAT), "it has caught up");
-    let woke = late + BEAT + Duration::from_secs(37);
-    assert!(p.stood_still(woke).is_some_and(|d| d > Duration::from_secs(36)));
-    assert!(p.stood_still(woke).is_none());
+    let p = StallDetector::new(t);
+    p.tick(t + TICK);
+    assert!(p.take_stall(t + TICK * 2).is_none() && !p.overloaded(t + TICK * 2));
+    let late = t + TICK * 2 + Duration::from_millis(600);
+    assert!(p.overloaded(late), "even before the timer fires");
+    p.tick(late);
+    assert!(p.overloaded(late) && p.take_stall(late).is_none());
+    p.tick(late + TICK);
+    assert!(!p.overloaded(late + TICK), "it has caught up");
+    let woke = late + TICK + Duration::from_secs(37);
+    assert!(p.take_stall(woke).is_some_and(|d| d > Duration::from_secs(36)));
+    assert!(p.take_stall(woke).is_none());
 }
 
 #[test]
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -230,7 +230,7 @@
                 self.model.commanded(&from, report.as_ref(), self.now);
             }
             Message::Report(r, sent) => {
-                self.model.heard(&r, self.now);
+                self.model.apply_report(&r, self.now);
                 if let Some((token, mut orders)) = self.model.reply(&r.machine, r.token, self.now) {
                     orders.extend(self.model.stops(&r));
                     self.mail.push(Message::Reply {
@@ -297,7 +297,7 @@
         match m {
             // Its answer reaches nobody.
             Message::Report(r, _) => {
-                self.model.heard(&r, self.now);
+                self.model.apply_report(&r, self.now);
                 let _ = self.model.reply(&r.machine, r.token, self.now);
             }
             Message::Command { to, commands, .. } => {
@@ -569,7 +569,7 @@
                 let w = &mut self.workers[i % n];
                 if let Some(old) = self.old.as_mut().filter(|_| w.alive) {
                     let r = w.report();
-                    old.heard(&r, self.now);
+                    old.apply_report(&r, self.now);
                     if let Some((token, _)) = old.reply(&r.machine, r.token, self.now) {
                         let orders = old.stops(&r);
                         self.mail.push(Message::Reply {
@@ -789,7 +789,7 @@
     let now = start();
     let mut m = model(7);
     let id = MachineId::from("i-1");
-    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.apply_report(&report("i-1", "small", "north", false, 7, 1), now);
     m.add_job(record(job(1, 1, 4.0)), now);
     m.plan(now);
     let w = m.take_writes(now);
@@ -803,7 +803,7 @@
     let (_, c) = m.command(&id, now + secs(1)).expect("the start");
     assert!(matches!(c.commands[..], [Command::Start { .. }]));
     m.commanded(&id, None, now + secs(2));
-    m.heard(&report("i-1", "small", "north", false, 7, 2), now + secs(2));
+    m.apply_report(&report("i-1", "small", "north", false, 7, 2), now + secs(2));
     assert_eq!(
         m.machines[&id].slots.len(),
         1,
@@ -811,7 +811,7 @@
     );
     let mut later = report("i-1", "small", "north", false, 7, 3);
     later.token = c.token;
-    m.heard(&later, now + secs(3));
+    m.apply_report(&later, now + secs(3));
     assert!(m.machines[&id].slots.is_empty());
 }
 
@@ -822,7 +822,7 @@
     let now = start();
     let mut m = model(7);
     let id = MachineId::from("i-1");
-    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.apply_report(&report("i-1", "small", "north", false, 7, 1), now);
     m.machines.get_mut(&id).expect("known").probe = true;
     let (_, c) = m.command(&id, now).expect("a command");
     assert!(m.reply(&id, 7 << 20, now).expect("a token").0 < c.token);
@@ -847,7 +847,7 @@
     let now = start();
     let mut m = model(7);
     let id = MachineId::from("i-1");
-    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.apply_report(&report("i-1", "small", "north", false, 7, 1), now);
     let rec = record(job(1, 1, 4.0));
     let job = rec.spec.id;
     m.add_job(rec, now);
@@ -862,7 +862,7 @@
     let (token, _) = m.reply(&id, r.token, now + secs(9)).expect("an answer");
     assert!(token > c.token, "the start is refused from now on");
     (r.token, r.seq) = (token, 3);
-    m.heard(&r, now + secs(9));
+    m.apply_report(&r, now + secs(9));
     assert!(m.machines[&id].slots.is_empty(), "and that settles its place");
     // A task that is there is stopped by the answer itself.
     r.tasks = vec![ReportedTask {
@@ -880,7 +880,7 @@
     let now = start();
     let mut m = model(7);
     let id = MachineId::from("i-1");
-    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.apply_report(&report("i-1", "small", "north", false, 7, 1), now);
     m.add_job(record(job(1, 2, 4.0)), now);
     m.plan(now);
     let w = m.take_writes(now);
@@ -914,7 +914,7 @@
     let mut m = model(7);
     let mut r = report("i-1", "small", "north", false, 7, 5);
     r.session = 2;
-    m.heard(&r, now);
+    m.apply_report(&r, now);
     let id = MachineId::from("i-1");
     for (session, seq) in [(1, 9), (2, 4), (2, 5)] {
         let mut old = report("i-1", "small", "north", false, 7, seq);
@@ -926,7 +926,10 @@
             why: None,
             saved: None,
         }];
-        assert_eq!(m.heard(&old, now), bitternfold::core::worker_reports::Heard::Old);
+        assert_eq!(
+            m.apply_report(&old, now),
+            bitternfold::core::worker_reports::ReportOutcome::Outdated
+        );
         assert!(m.machines[&id].slots.is_empty());
         assert_eq!(m.machines[&id].newest, (2, 5));
     }
@@ -940,12 +943,12 @@
     let mut m = model(7);
     let ids: Vec<MachineId> = (0..4).map(|i| format!("i-{i}").as_str().into()).collect();
     for id in &ids {
-        m.heard(&report(id, "small", "north", false, 7, 1), now);
+        m.apply_report(&report(id, "small", "north", false, 7, 1), now);
         m.commanded(id, None, now);
     }
     assert!(!m.cut_from_workers(now + secs(1)), "too soon to tell");
     for id in &ids {
-        m.heard(&report(id, "small", "north", false, 7, 2), now + secs(7));
+        m.apply_report(&report(id, "small", "north", false, 7, 2), now + secs(7));
     }
     assert!(m.cut_from_workers(now + secs(7)));
     let answer = report(&ids[0], "small", "north", false, 7, 3);
@@ -959,7 +962,7 @@
     // Those that were sent nothing of late don't count as answering.
     m.commanded(&ids[0], None, now + secs(8));
     for id in &ids {
-        m.heard(&report(id, "small", "north", false, 7, 4), now + secs(14));
+        m.apply_report(&report(id, "small", "north", false, 7, 4), now + secs(14));
     }
     assert!(m.cut_from_workers(now + secs(14)));
 }
@@ -979,14 +982,14 @@
         why: None,
         saved: None,
     }];
-    m.heard(&late, now);
+    m.apply_report(&late, now);
     let id = MachineId::from("i-1");
     assert!(m.machines[&id].slots.is_empty());
     assert_eq!(m.jobs.values().next().expect("the job").waiting.count(), 1);
     // In its own words, after the fence, it counts.
     late.token = 9 << 20;
     late.seq += 1;
-    m.heard(&late, now);
+    m.apply_report(&late, now);
     assert_eq!(m.machines[&id].slots.len(), 1);
     assert_eq!(m.jobs.values().next().expect("the job").waiting.count(), 0);
 }
@@ -996,7 +999,7 @@
     // Late copies of its reports must not bring it back into the fleet.
     let now = start();
     let mut m = model(7);
-    m.heard(&report("i-1", "small", "north", false, 7, 1), now);
+    m.apply_report(&report("i-1", "small", "north", false, 7, 1), now);
     m.released(&MachineId::from("i-1"), now);
     let mut next = model(8);
     for w in m.take_writes(now) {
@@ -1007,7 +1010,10 @@
         }
     }
     next.load_log(now);
-    let heard = next.heard(&report("i-1", "small", "north", false, 7, 9), now);
-    assert_eq!(heard, bitternfold::core::worker_reports::Heard::Gone);
+    let heard = next.apply_report(&report("i-1", "small", "north", false, 7, 9), now);
+    assert_eq!(
+        heard,
+        bitternfold::core::worker_reports::ReportOutcome::MachineGone
+    );
     assert!(next.machines.is_empty());
 }
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -64,7 +64,7 @@
 fn full(machines: usize, now: Instant) -> (Model, Vec<(u64, Option<serde_json::Value>)>) {
     let mut m = model(7);
     for i in 0..machines {
-        m.heard(&report(&id(i), "small", "north", false, 7, 1), now);
+        m.apply_report(&report(&id(i), "small", "north", false, 7, 1), now);
     }
     for j in 0..machines / 20 {
         // 40 tasks of 4 CPUs: as many as fit on 20 machines of 8, and some more jobs wait.
@@ -102,7 +102,7 @@
         let r = one_ended(&m, machines / 2, 3);
         let at = now + secs(1000);
         let (heard, _) = work(|| {
-            m.heard(&r, at);
+            m.apply_report(&r, at);
             m.reply(&r.machine, r.token, at)
         });
         let (append, writes) = work(|| m.take_writes(at));
@@ -212,7 +212,7 @@
     let last = id(LARGE - 1);
     let mut r = report(&last, "small", "north", false, 8, 90);
     r.token += 5;
-    m.heard(&r, now);
+    m.apply_report(&r, now);
     let round = m.plan(now);
     assert!(round.in_order + round.backfilled > 0);
     for w in m.take_writes(now) {
@@ -237,7 +237,7 @@
     let now = start();
     let mut m = model(7);
     for i in 0..40 {
-        m.heard(&report(&id(i), "small", "north", false, 7, 1), now);
+        m.apply_report(&report(&id(i), "small", "north", false, 7, 1), now);
     }
     let mut stored = std::collections::BTreeMap::new();
     for turn in 0..400u32 {
@@ -247,7 +247,7 @@
             // What ended in the turn before is forgotten.
             let mut r = report(&id(i), "small", "north", false, 7, 2 + u64::from(turn) * 2);
             r.token = m.machines[&id(i)].seen_token;
-            m.heard(&r, at);
+            m.apply_report(&r, at);
         }
         m.plan(at);
         for w in m.take_writes(at) {
@@ -286,7 +286,7 @@
     let [few, many] = [70, MOST_TASKS].map(|tasks| {
         let mut m = model(7);
         for i in 0..40 {
-            m.heard(&report(&id(i), "large", "north", true, 7, 1), now);
+            m.apply_report(&report(&id(i), "large", "north", true, 7, 1), now);
         }
         for n in 0..20 {
             m.add_job(record(job(n, tasks, 1.0)), now);
