--- /dev/null
+++ b/src/leader/active_leader/report_routing.rs
@@ -0,0 +1,120 @@
+//! Reports of workers, and which controller each of them is to report to.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
+use std::time::{Duration, Instant};
+
+use tracing::info;
+
+use crate::core::machine::Phase;
+use crate::core::worker_reports::ReportOutcome;
+use crate::node::Node;
+use crate::peer::Reply;
+use crate::wire::{MachineId, Report, ReportReply};
+
+use super::ActiveLeader;
+
+/// A worker that came back from the controller it was sent to is not sent
+/// there again for so long.
+const AVOID: Duration = Duration::from_secs(30);
+
+/// Where workers were sent, to see who comes back.
+#[derive(Debug, Default)]
+pub(super) struct Redirects {
+    to: HashMap<MachineId, (String, Instant)>,
+    avoid: HashMap<(MachineId, String), Instant>,
+}
+
+impl ActiveLeader {
+    /// The controller that a machine is to report to.
+    pub(super) fn owner(&self, machine: &MachineId) -> String {
+        let sent = self.sent.lock();
+        let now = Instant::now();
+        let weigh = |host: &String| {
+            let mut h = DefaultHasher::new();
+            (machine, host).hash(&mut h);
+            h.finish()
+        };
+        self.node
+            .connected()
+            .into_iter()
+            .filter(|h| {
+                sent.avoid
+                    .get(&(machine.clone(), h.clone()))
+                    .is_none_or(|t| now.duration_since(*t) > AVOID)
+            })
+            .max_by_key(weigh)
+            .unwrap_or_else(|| self.node.host().to_owned())
+    }
+
+    /// A report that reached the controller `via`.
+    pub fn report(&self, body: &[u8], via: &str) -> Reply {
+        if !self.may_renew_leases() {
+            return Reply::later("leadership is in doubt");
+        }
+        let r: Report = match serde_json::from_slice(body) {
+            Ok(r) => r,
+            Err(e) => return Reply::error(400, &e.to_string()),
+        };
+        let now = Instant::now();
+        let may_act = self.may_act();
+        let (heard, answer, stops) = {
+            let mut m = self.model.lock();
+            let heard = m.apply_report(&r, now);
+            let known = m.machines.get(&r.machine);
+            if known.is_some_and(|m| m.phase == Phase::Releasing) {
+                return Reply::later("this machine is being returned");
+            }
+            match heard {
+                ReportOutcome::MachineGone => return Reply::later("this machine was returned"),
+                // A command's answer has overtaken it, or it is a late copy,
+                // whose answer reaches nobody.
+                ReportOutcome::Outdated
+                    if known.is_none_or(|m| m.newest.0 != r.session || m.session_over(r.session)) =>
+                {
+                    return Reply::later("an older report")
+                }
+                ReportOutcome::Outdated | ReportOutcome::Applied => {}
+            }
+            (heard, m.reply(&r.machine, r.token, now), m.stops(&r))
+        };
+        if heard == ReportOutcome::Applied {
+            self.wake.notify_one();
+        }
+        let Some((token, commands)) = answer else {
+            // Only an elected one gives out such tokens.
+            info!(
+                term = self.term,
+                token = r.token,
+                "a newer leader has spoken to a worker"
+            );
+            self.end();
+            return Reply::later("a newer leader has spoken to this worker");
+        };
+        if let Some(to) = self.redirect(&r.machine, via, now) {
+            return Node::elsewhere(&to);
+        }
+        let mut commands = if may_act { commands } else { Vec::new() };
+        commands.extend(stops);
+        Reply::json(200, &ReportReply { token, commands })
+    }
+
+    pub(super) fn redirect(&self, machine: &MachineId, via: &str, now: Instant) -> Option<String> {
+        {
+            let mut sent = self.sent.lock();
+            if let Some((to, at)) = sent.to.remove(machine) {
+                if to != via && now.duration_since(at) < Duration::from_secs(15) {
+                    // It was sent there and is back here: it can't reach it.
+                    sent.avoid.insert((machine.clone(), to), now);
+                }
+            }
+        }
+        let owner = self.owner(machine);
+        if owner == via {
+            return None;
+        }
+        self.sent.lock().to.insert(machine.clone(), (owner.clone(), now));
+        Some(owner)
+    }
+}
--- /dev/null
+++ b/src/leader/active_leader/scheduling_loop.rs
@@ -0,0 +1,97 @@
+//! Scheduling rounds: what they decide is stored and sent.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::time::{sleep, timeout};
+use tracing::{debug, info};
+
+use crate::core::store_plan::Write;
+use crate::store::CommitError;
+use crate::worker::{self, Commanded};
+
+use super::ActiveLeader;
+
+/// Machines without other orders that are sent a command in one round at the
+/// most, to learn what is on them: a new leader has to ask them all, and its
+/// renewal of the lease must not wait behind them.
+const PROBES: usize = 64;
+
+impl ActiveLeader {
+    pub(super) async fn rounds(self: Arc<Self>) {
+        loop {
+            let _ = timeout(Duration::from_millis(500), self.wake.notified()).await;
+            self.node.check_for_stall();
+            let began = Instant::now();
+            if self.may_act() {
+                self.round();
+            }
+            // A round that took long is followed by a longer pause, so that
+            // users and workers are answered meanwhile.
+            let pause = self.node.tuning.plan_pause;
+            sleep(pause.max((began.elapsed() * 4).min(pause * 10))).await;
+        }
+    }
+
+    pub(super) fn round(self: &Arc<Self>) {
+        let now = Instant::now();
+        let mut m = self.model.lock();
+        let r = m.plan(now);
+        if r != crate::core::plan::Round::default() {
+            debug!(?r, "round");
+        }
+        let mut load_ended = self.load_ended.lock();
+        if let Some(t) = load_ended.filter(|_| m.all_fenced()) {
+            info!(
+                took_ms = (now - t).as_millis() as u64,
+                "all workers obey this term"
+            );
+            *load_ended = None;
+        }
+        drop(load_ended);
+        let writes = m.take_writes(now);
+        let commands = m.commands(now, PROBES.min(self.node.sockets.commands_free() / 2));
+        drop(m);
+        for w in writes {
+            let active_leader = self.clone();
+            tokio::spawn(async move { active_leader.write(w).await });
+        }
+        for (id, addr, c) in commands {
+            let active_leader = self.clone();
+            tokio::spawn(async move {
+                let sockets = &active_leader.node.sockets;
+                let outcome = worker::command(sockets, &addr, &c, || active_leader.may_act()).await;
+                let report = match &outcome {
+                    Commanded::Done(r) | Commanded::Refused(r) => Some(r),
+                    Commanded::Unknown => None,
+                };
+                if let Commanded::Refused(r) = &outcome {
+                    debug!(machine = %id, token = c.token, seen = r.token, session = r.session, "command refused");
+                }
+                active_leader.model.lock().commanded(&id, report, Instant::now());
+                active_leader.wake.notify_one();
+            });
+        }
+    }
+
+    pub(super) async fn write(&self, w: Write) {
+        let unit = w.unit();
+        let result = self.writer.commit(unit).await;
+        if let Err(CommitError::Conflict(keys)) = &result {
+            info!(?keys, "a write met a changed key");
+            if matches!(w, Write::Log(_)) {
+                // The log is this term's alone: what it holds is in doubt now,
+                // and the next term reads it anew.
+                return self.end();
+            }
+        }
+        let ok = result.is_ok();
+        if let (true, Write::Final { id, record }) = (ok, &w) {
+            // Before the job leaves the model, so that no answer falls between.
+            self.node.finals.lock().keep(*id, record.state, record.done);
+            debug!(job = %id, state = ?record.state, "finished");
+        }
+        self.model.lock().written(&w, ok, Instant::now());
+        self.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/src/leader/active_leader/takeover.rs
@@ -0,0 +1,59 @@
+//! Reading what is stored at the begin of a term.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tracing::info;
+
+use crate::core::record::{self, JobRecord};
+use crate::node::wall_ms;
+use crate::store::StoreError;
+
+use super::ActiveLeader;
+
+impl ActiveLeader {
+    pub(super) async fn load(&self) -> Result<(), StoreError> {
+        let store = &self.node.store;
+        let (jobs, _) = store.list(record::JOBS).await?;
+        let (segments, _) = store.list(record::WAL).await?;
+        let ratios = store.get(record::RATIOS).await?;
+        let types = store.get(record::TYPES).await?;
+        let now = Instant::now();
+        let wall = wall_ms();
+        let mut m = self.model.lock();
+        for item in jobs {
+            self.writer.know(&item.key, item.version);
+            let Ok(r) = serde_json::from_value::<JobRecord>(item.value) else {
+                info!(key = item.key, "an unreadable job record is left alone");
+                continue;
+            };
+            let age = Duration::from_millis(wall.saturating_sub(r.at));
+            m.add_job(r, now.checked_sub(age).unwrap_or(now));
+        }
+        for item in segments {
+            self.writer.know(&item.key, item.version);
+            let number = item.key.trim_start_matches(record::WAL).parse();
+            let read = number.is_ok_and(|n| m.log.load(n, item.value));
+            if !read {
+                // What it names is unknown: nothing may be placed.
+                info!(key = item.key, "a segment of the log can't be read");
+                return Err(StoreError::Unanswered);
+            }
+        }
+        m.load_log(now);
+        if let Ok(item) = ratios {
+            self.writer.know(record::RATIOS, item.version);
+            if let Ok(r) = serde_json::from_value(item.value) {
+                m.ratios = r;
+            }
+        }
+        if let Ok(item) = types {
+            self.writer.know(record::TYPES, item.version);
+            if let Ok(t) = serde_json::from_value(item.value) {
+                m.types = t;
+                *self.node.types.lock() = Arc::new(m.types.clone());
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/leader/active_leader/user_requests.rs
@@ -0,0 +1,217 @@
+//! Submissions, questions and cancellations.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use tokio::time::{sleep, timeout};
+use tracing::{debug, info};
+
+use crate::core::record::{self, JobRecord};
+use crate::node::{accepted, view_reply, wall_ms, Lookup};
+use crate::peer::Reply;
+use crate::store::{CommitError, Unit};
+use crate::wire::{JobId, JobSpec};
+
+use super::ActiveLeader;
+
+/// How long a user's change may take to be stored.
+const STORED_WITHIN: Duration = Duration::from_millis(2500);
+
+impl ActiveLeader {
+    /// A submission.
+    pub async fn submit(self: &Arc<Self>, body: &[u8]) -> Reply {
+        let id = match self.node.id_of(body) {
+            Ok(id) => id,
+            Err(r) => return r,
+        };
+        if let Some(r) = self.known_for_sure(id).await {
+            return r;
+        }
+        let types = self.node.types.lock().clone();
+        let spec = match self.node.judge(body, &types) {
+            Ok(s) => s,
+            // Only an unknown job is judged: a follower may have stored it.
+            Err(bad) => return self.unless_known(id, bad).await,
+        };
+        let rec = JobRecord {
+            spec,
+            at: wall_ms(),
+            cancelled: false,
+        };
+        if !self.node.record_fits(&rec) {
+            let bad = Reply::error(400, "the job's description is too long");
+            return self.unless_known(id, bad).await;
+        }
+        // What can't be stored in time is refused at once.
+        let within = self.node.store.changes_within(STORED_WITHIN);
+        if self.writer.urgent_waiting() as f64 > within {
+            return Reply::later("too many jobs are being stored");
+        }
+        let active_leader = self.clone();
+        let stored = tokio::spawn(async move { active_leader.accept(rec).await });
+        match timeout(STORED_WITHIN, stored).await {
+            Ok(Ok(Ok(()))) => accepted(id, 201),
+            Ok(Ok(Err(CommitError::Conflict(_)))) => {
+                let other = Reply::later("the job's state can't be read now");
+                self.unless_known(id, other).await
+            }
+            _ => Reply::later("the job can't be stored now"),
+        }
+    }
+
+    pub(super) async fn accept(&self, rec: JobRecord) -> Result<(), CommitError> {
+        let id = rec.spec.id;
+        let value = serde_json::to_value(&rec).unwrap_or(Value::Null);
+        let key = record::job_key(id);
+        let unit = Unit {
+            changes: vec![(key.clone(), Some(value))],
+            absent: vec![key, record::final_key(id)],
+            urgent: true,
+        };
+        self.writer.commit(unit).await?;
+        let s: &JobSpec = &rec.spec;
+        debug!(job = %id, team = s.team, class = s.class, tasks = s.tasks, cpus = s.cpus, "accepted");
+        self.model.lock().add_job(rec, Instant::now());
+        self.wake.notify_one();
+        Ok(())
+    }
+
+    /// The answer for a job known here.
+    pub(super) fn known(&self, id: JobId) -> Option<Reply> {
+        if !self.may_act() {
+            return Some(Reply::later("leadership is in doubt"));
+        }
+        let active = self.model.lock().view(id);
+        let view = active.or_else(|| self.node.finals.lock().view(id))?;
+        Some(Reply::json(200, &view))
+    }
+
+    /// The same, if it can't be older than what another leader has told since:
+    /// final states never are.
+    pub(super) async fn known_for_sure(&self, id: JobId) -> Option<Reply> {
+        if let Some(view) = self.node.finals.lock().view(id) {
+            return Some(Reply::json(200, &view));
+        }
+        let reply = self.known(id)?;
+        if reply.status == 200 && !self.confirm().await {
+            return Some(Reply::later("leadership can't be confirmed now"));
+        }
+        Some(reply)
+    }
+
+    pub(super) async fn unless_known(&self, id: JobId, otherwise: Reply) -> Reply {
+        match self.node.lookup(id).await {
+            Ok(Lookup::Absent) => otherwise,
+            Ok(Lookup::Active(r, version)) => {
+                let reply = view_reply(id, &Lookup::Active(r.clone(), version));
+                self.admit(*r, version);
+                reply
+            }
+            Ok(l) => view_reply(id, &l),
+            Err(_) => Reply::later("the job's state can't be read now"),
+        }
+    }
+
+    /// A poll.
+    pub async fn poll(&self, id: JobId) -> Reply {
+        match self.known_for_sure(id).await {
+            Some(r) => r,
+            None => self.unless_known(id, Reply::error(404, "no such job")).await,
+        }
+    }
+
+    /// A cancellation.
+    pub async fn cancel(self: &Arc<Self>, id: JobId) -> Reply {
+        if !self.may_act() {
+            return Reply::later("leadership is in doubt");
+        }
+        if !self.load_job(id).await {
+            return Reply::later("the job's state can't be read now");
+        }
+        let active_leader = self.clone();
+        let work = tokio::spawn(async move { active_leader.cancel_stored(id).await });
+        match timeout(STORED_WITHIN, work).await {
+            Ok(Ok(reply)) => reply,
+            _ => Reply::later("the cancellation can't be stored now"),
+        }
+    }
+
+    pub(super) async fn cancel_stored(self: Arc<Self>, id: JobId) -> Reply {
+        // A job whose last task is done is about to be stored as done.
+        for _ in 0..100 {
+            let finishing = self
+                .model
+                .lock()
+                .jobs
+                .get(&id)
+                .is_some_and(|j| j.complete() && !j.cancelled);
+            if !finishing {
+                break;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let record = {
+            let mut m = self.model.lock();
+            match m.jobs.get(&id) {
+                None => {
+                    drop(m);
+                    return match self.node.finals.lock().view(id) {
+                        Some(v) => Reply::json(200, &v),
+                        None => Reply::error(404, "no such job"),
+                    };
+                }
+                Some(j) if j.complete() && !j.cancelled => return Reply::later("the job is ending"),
+                Some(j) if j.cancelled && j.cancel_stored => None,
+                Some(_) => {
+                    m.cancel(id, Instant::now());
+                    m.jobs.get(&id).map(|j| j.record())
+                }
+            }
+        };
+        self.wake.notify_one();
+        if let Some(record) = record {
+            if !self.store_cancellation(id, &record).await {
+                return Reply::later("the cancellation can't be stored now");
+            }
+            info!(job = %id, "cancelled");
+            self.model.lock().cancel_stored(id);
+            self.wake.notify_one();
+        }
+        match self.known(id) {
+            Some(r) => r,
+            None => Reply::later("the job's state can't be told now"),
+        }
+    }
+
+    /// Stores a cancellation that the model has taken already: its tasks are
+    /// being stopped, so there is no way back but the end of the term. A key
+    /// that was not as expected is read again, or the job would be neither run
+    /// nor cancelled for as long as this term lasts.
+    pub(super) async fn store_cancellation(&self, id: JobId, record: &JobRecord) -> bool {
+        let key = record::job_key(id);
+        let value = serde_json::to_value(record).unwrap_or(Value::Null);
+        loop {
+            let unit = Unit {
+                changes: vec![(key.clone(), Some(value.clone()))],
+                absent: Vec::new(),
+                urgent: true,
+            };
+            match self.writer.commit(unit).await {
+                Ok(()) => return true,
+                Err(CommitError::Deposed) => return false,
+                Err(CommitError::Conflict(_)) => match self.node.lookup(id).await {
+                    Ok(Lookup::Active(r, _)) if r.cancelled => return true,
+                    Ok(Lookup::Active(_, version)) => self.writer.know(&key, version),
+                    Ok(_) => {
+                        info!(job = %id, "cancelled here, yet not unfinished in the state service");
+                        self.end();
+                        return false;
+                    }
+                    Err(_) => {}
+                },
+            }
+            sleep(Duration::from_millis(150)).await;
+        }
+    }
+}
