Workers are redirected only after a report of theirs was answered

Now a first report is answered where it comes in, a redirect follows an answer, and a controller that a worker has just left is not its next one for 30 s.

Ruled out: zone cuts, machines released (few), the stall of the leader itself.

--- a/src/leader/active_leader.rs
+++ b/src/leader/active_leader.rs
@@ -17,12 +17,12 @@
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info};
 
+use super::redirects::RedirectHistory;
 use crate::core::authority::Authority;
 use crate::core::record::{self};
 use crate::core::Model;
 use crate::node::{Node, Role};
 use crate::store::{StoreError, Writer};
-use report_routing::Redirects;
 
 /// Share of the state service's requests that may go into confirming answers.
 const CONFIRMING: f64 = 0.1;
@@ -50,7 +50,7 @@
     over: AtomicBool,
     ended: Notify,
     wake: Notify,
-    sent: Mutex<Redirects>,
+    redirects: Mutex<RedirectHistory>,
 }
 
 impl ActiveLeader {
@@ -79,7 +79,7 @@
             over: AtomicBool::new(false),
             ended: Notify::new(),
             wake: Notify::new(),
-            sent: Mutex::default(),
+            redirects: Mutex::default(),
             node,
         })
     }
--- a/src/leader/active_leader/job_intake.rs
+++ b/src/leader/active_leader/job_intake.rs
@@ -60,6 +60,7 @@
         let mut unreadable = HashSet::new();
         loop {
             sleep(RECONCILE_INTERVAL).await;
+            self.forget_gone_workers();
             let Ok((items, _)) = self.node.store.list(record::JOBS).await else {
                 continue;
             };
@@ -85,6 +86,13 @@
         }
     }
 
+    fn forget_gone_workers(&self) {
+        let model = self.model.lock();
+        self.redirects
+            .lock()
+            .retain(|machine| model.machines.contains_key(machine));
+    }
+
     /// False: it has to be tried again.
     pub(super) async fn admit_from_inbox(self: Arc<Self>, key: &str, version: u64) -> bool {
         let Ok(id) = key.trim_start_matches(record::INBOX).parse::<JobId>() else {
--- a/src/leader/active_leader/report_routing.rs
+++ b/src/leader/active_leader/report_routing.rs
@@ -1,9 +1,8 @@
 //! Reports of workers, and which controller each of them is to report to.
 
 use std::collections::hash_map::DefaultHasher;
-use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tracing::info;
 
@@ -15,36 +14,21 @@
 
 use super::ActiveLeader;
 
-/// A worker that came back from the controller it was sent to is not sent
-/// there again for so long.
-const AVOID: Duration = Duration::from_secs(30);
-
-/// Where workers were sent, to see who comes back.
-#[derive(Debug, Default)]
-pub(super) struct Redirects {
-    to: HashMap<MachineId, (String, Instant)>,
-    avoid: HashMap<(MachineId, String), Instant>,
-}
-
 impl ActiveLeader {
-    /// The controller that a machine is to report to.
-    pub(super) fn owner(&self, machine: &MachineId) -> String {
-        let sent = self.sent.lock();
-        let now = Instant::now();
-        let weigh = |host: &String| {
-            let mut h = DefaultHasher::new();
-            (machine, host).hash(&mut h);
-            h.finish()
+    /// The controller that a machine is to report to: the same one from every
+    /// leader, among those that are connected and that the worker can reach.
+    fn owner(&self, machine: &MachineId, now: Instant) -> String {
+        let redirects = self.redirects.lock();
+        let weight = |host: &String| {
+            let mut hasher = DefaultHasher::new();
+            (machine, host).hash(&mut hasher);
+            hasher.finish()
         };
         self.node
             .connected()
             .into_iter()
-            .filter(|h| {
-                sent.avoid
-                    .get(&(machine.clone(), h.clone()))
-                    .is_none_or(|t| now.duration_since(*t) > AVOID)
-            })
-            .max_by_key(weigh)
+            .filter(|host| redirects.may_reach(machine, host, now))
+            .max_by_key(weight)
             .unwrap_or_else(|| self.node.host().to_owned())
     }
 
@@ -92,29 +76,27 @@
             self.end();
             return Reply::later("a newer leader has spoken to this worker");
         };
-        if let Some(to) = self.redirect(&r.machine, via, now) {
-            return Node::elsewhere(&to);
+        // Late copies tell nothing of where the worker reports now.
+        if heard == ReportOutcome::Applied {
+            if let Some(to) = self.redirect(&r.machine, via, now) {
+                return Node::elsewhere(&to);
+            }
         }
         let mut commands = if may_act { commands } else { Vec::new() };
         commands.extend(stops);
         Reply::json(200, &ReportReply { token, commands })
     }
 
-    pub(super) fn redirect(&self, machine: &MachineId, via: &str, now: Instant) -> Option<String> {
-        {
-            let mut sent = self.sent.lock();
-            if let Some((to, at)) = sent.to.remove(machine) {
-                if to != via && now.duration_since(at) < Duration::from_secs(15) {
-                    // It was sent there and is back here: it can't reach it.
-                    sent.avoid.insert((machine.clone(), to), now);
-                }
-            }
+    /// The controller that a worker is to report to instead of `via`, if any.
+    fn redirect(&self, machine: &MachineId, via: &str, now: Instant) -> Option<String> {
+        if !self.redirects.lock().report_arrived(machine, via, now) {
+            return None;
         }
-        let owner = self.owner(machine);
+        let owner = self.owner(machine, now);
         if owner == via {
             return None;
         }
-        self.sent.lock().to.insert(machine.clone(), (owner.clone(), now));
+        self.redirects.lock().redirected(machine, &owner, now);
         Some(owner)
     }
 }
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -6,6 +6,7 @@
 //! clock, one life of the lease after its last successful renewal was sent.
 
 pub mod active_leader;
+pub mod redirects;
 
 use std::io;
 use std::sync::Arc;
