--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -11,8 +11,8 @@
 use super::machine::{Machine, Phase};
 use super::model::{Model, EPS};
 use super::plan::Usage;
-use super::slot::SlotState;
-use crate::wire::{JobSpec, Kind, MachineId, Rental};
+use super::slot::{Slot, SlotState};
+use crate::wire::{JobSpec, Kind, MachineId, MachineType, Rental};
 
 /// A kind of machine at a place: type, zone, spot.
 pub type Offer = (String, String, bool);
@@ -64,11 +64,43 @@
     wanted: BTreeMap<Offer, u32>,
 }
 
+impl OpenMachine {
+    fn empty(kind: usize, machine_type: &MachineType, zone: &str, spot: bool) -> Self {
+        Self {
+            kind,
+            zone: zone.to_owned(),
+            spot,
+            cpus: machine_type.cpus,
+            gpus: machine_type.gpus,
+            memory: machine_type.memory_gb,
+        }
+    }
+
+    fn claim(&mut self, spec: &JobSpec) {
+        self.cpus -= spec.cpus;
+        self.gpus -= spec.gpus;
+        self.memory -= spec.memory_gb;
+    }
+}
+
 impl RentalPlan<'_> {
     fn add(&mut self, offer: Offer) {
         *self.per_zone.entry(offer.1.clone()).or_default() += 1;
         *self.wanted.entry(offer).or_default() += 1;
     }
+
+    /// In requests of a size that the cloud takes, the largest first.
+    fn into_requests(self) -> Vec<(Offer, u32)> {
+        let mut requests = Vec::new();
+        for (offer, mut count) in self.wanted {
+            while count > 0 {
+                requests.push((offer.clone(), count.min(MOST_RENTED)));
+                count -= count.min(MOST_RENTED);
+            }
+        }
+        requests.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        requests
+    }
 }
 
 impl Model {
@@ -387,55 +419,18 @@
 
     /// Packs what waits onto what there is; the rest is to be rented.
     fn to_rent(&self, now: Instant) -> Vec<(Offer, u32)> {
-        let mut open_machines: Vec<OpenMachine> = Vec::new();
         let cut = self.silent_zones(now);
         let mut rentals = RentalPlan {
             cut: &cut,
             per_zone: BTreeMap::new(),
             wanted: BTreeMap::new(),
         };
-        // Room that falls free well before a machine could boot counts as free.
-        let boot = self.types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
-        let soon = Duration::from_secs_f64((boot * SOON_FREE).clamp(0.0, 60.0));
         for m in self.machines.values() {
             *rentals.per_zone.entry(m.zone.clone()).or_default() += 1;
-            let Some(kind) = self.kind_of(m) else { continue };
-            let booting = m.phase == Phase::Booting;
-            if !(booting || self.usable(m, now) && m.recall.is_none()) || cut.contains(&m.zone) {
-                continue;
-            }
-            let t = &self.types[kind];
-            let mut b = OpenMachine {
-                kind,
-                zone: m.zone.clone(),
-                spot: m.spot,
-                cpus: t.cpus,
-                gpus: t.gpus,
-                memory: t.memory_gb,
-            };
-            for s in m
-                .slots
-                .values()
-                .filter(|s| s.takes_room() && s.state != SlotState::Unknown)
-                .filter(|s| self.predicted_end(s, now) > now + soon)
-            {
-                if let Some(s) = &s.spec {
-                    b.cpus -= s.cpus;
-                    b.gpus -= s.gpus;
-                    b.memory -= s.memory_gb;
-                }
-            }
-            if b.cpus > EPS {
-                open_machines.push(b);
-            }
-        }
-        let mut total = self.machines.len();
-        for (offer, count) in self.fleet.pending.values() {
-            total += *count as usize;
-            if let Some(b) = self.open_machine(offer) {
-                open_machines.extend(std::iter::repeat_n(b, *count as usize));
-            }
         }
+        let mut open_machines = self.open_machines(&cut, now);
+        let pending: u32 = self.fleet.pending.values().map(|(_, count)| count).sum();
+        let mut total = self.machines.len() + pending as usize;
         let mut usage = self.usage();
         let mut queue: Vec<_> = self.jobs.values().filter(|j| j.waiting.count() > 0).collect();
         let ranks = self.ranks(now);
@@ -448,31 +443,21 @@
             team_usage.cpus += f64::from(left) * s.cpus;
             team_usage.gpus += f64::from(left) * s.gpus;
             cpus_waiting += f64::from(left) * s.cpus;
-            for b in &mut open_machines {
-                while left > 0 && self.fits_open_machine(s, b) {
-                    b.cpus -= s.cpus;
-                    b.gpus -= s.gpus;
-                    b.memory -= s.memory_gb;
-                    left -= 1;
-                }
+            for open in &mut open_machines {
+                self.fill(open, s, &mut left);
             }
-            open_machines.retain(|b| b.cpus > EPS);
+            open_machines.retain(|open| open.cpus > EPS);
             while left > 0 && total < self.config.tuning.most_machines {
                 let Some(offer) = self.best_offer(s, left, &rentals, now) else {
                     break;
                 };
-                let Some(mut b) = self.open_machine(&offer) else {
+                let Some(mut open) = self.open_machine(&offer) else {
                     break;
                 };
                 total += 1;
                 let before = left;
-                while left > 0 && self.fits_open_machine(s, &b) {
-                    b.cpus -= s.cpus;
-                    b.gpus -= s.gpus;
-                    b.memory -= s.memory_gb;
-                    left -= 1;
-                }
-                open_machines.push(b);
+                self.fill(&mut open, s, &mut left);
+                open_machines.push(open);
                 rentals.add(offer);
                 if left == before {
                     break;
@@ -480,16 +465,46 @@
             }
         }
         self.keep_warm(&open_machines, cpus_waiting, total, &mut rentals, now);
-        // In whole requests, the largest first.
-        let mut out = Vec::new();
-        for (offer, mut n) in rentals.wanted {
-            while n > 0 {
-                out.push((offer.clone(), n.min(MOST_RENTED)));
-                n -= n.min(MOST_RENTED);
+        rentals.into_requests()
+    }
+
+    /// Machines that are usable, boot or are being rented, with their room: what
+    /// falls free well before another machine could boot counts as free.
+    fn open_machines(&self, cut: &BTreeSet<String>, now: Instant) -> Vec<OpenMachine> {
+        let boot = self.types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
+        let soon = now + Duration::from_secs_f64((boot * SOON_FREE).clamp(0.0, 60.0));
+        let mut open_machines = Vec::new();
+        for m in self.machines.values() {
+            let Some(kind) = self.kind_of(m) else { continue };
+            let booting = m.phase == Phase::Booting;
+            if !(booting || self.usable(m, now) && m.recall.is_none()) || cut.contains(&m.zone) {
+                continue;
+            }
+            let mut open = OpenMachine::empty(kind, &self.types[kind], &m.zone, m.spot);
+            let stays = |s: &&Slot| s.takes_room() && s.state != SlotState::Unknown;
+            let long = |s: &&Slot| self.predicted_end(s, now) > soon;
+            let specs = m.slots.values().filter(stays).filter(long);
+            for spec in specs.filter_map(|s| s.spec.as_ref()) {
+                open.claim(spec);
+            }
+            if open.cpus > EPS {
+                open_machines.push(open);
             }
         }
-        out.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
-        out
+        for (offer, count) in self.fleet.pending.values() {
+            if let Some(open) = self.open_machine(offer) {
+                open_machines.extend(std::iter::repeat_n(open, *count as usize));
+            }
+        }
+        open_machines
+    }
+
+    /// Puts as many of a job's tasks on a machine as fit.
+    fn fill(&self, open: &mut OpenMachine, spec: &JobSpec, left: &mut u32) {
+        while *left > 0 && self.fits_open_machine(spec, open) {
+            open.claim(spec);
+            *left -= 1;
+        }
     }
 
     /// Some free room for what comes next.
@@ -526,15 +541,7 @@
 
     fn open_machine(&self, offer: &Offer) -> Option<OpenMachine> {
         let kind = self.types.iter().position(|t| t.name == offer.0)?;
-        let t = &self.types[kind];
-        Some(OpenMachine {
-            kind,
-            zone: offer.1.clone(),
-            spot: offer.2,
-            cpus: t.cpus,
-            gpus: t.gpus,
-            memory: t.memory_gb,
-        })
+        Some(OpenMachine::empty(kind, &self.types[kind], &offer.1, offer.2))
     }
 
     fn fits_open_machine(&self, s: &JobSpec, b: &OpenMachine) -> bool {
--- a/src/core/machine.rs
+++ b/src/core/machine.rs
@@ -131,7 +131,7 @@
                 .any(|s| s.stop.is_some() || matches!(s.state, SlotState::Placed | SlotState::Ended(_)))
     }
 
-    /// Whether a session is over by its lease, see [`Model::clear_lapsed`].
+    /// Whether a session is over by its lease, see [`super::Model::clear_lapsed`].
     pub fn session_over(&self, session: u64) -> bool {
         self.newest == (session, u64::MAX)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`api`] serves users and workers, [`peer`] joins the controllers, [`sockets`]
 //! shares out the sockets.
 
+#![deny(missing_docs)]
+
 pub mod api;
 pub mod cloud;
 pub mod core;
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -410,8 +410,17 @@
     }
 
     fn step(&mut self, op: Op) {
+        self.step_users(&op);
+        self.step_messages(&op);
+        self.step_machines(&op);
+        self.step_leaders(&op);
+        self.round();
+    }
+
+    /// Users submit and call off.
+    fn step_users(&mut self, op: &Op) {
         let n = self.workers.len();
-        match op {
+        match op.clone() {
             Op::Submit { tasks, cpus, red } => {
                 self.next_job += 1;
                 let mut spec = job(self.next_job, tasks, f64::from(cpus));
@@ -457,6 +466,14 @@
                 ended.dedup();
                 ended.into_iter().for_each(|id| self.cancel(id));
             }
+            _ => {}
+        }
+    }
+
+    /// Messages are sent, arrive, are lost, repeated or late.
+    fn step_messages(&mut self, op: &Op) {
+        let n = self.workers.len();
+        match op.clone() {
             Op::Report(i) => {
                 let w = &mut self.workers[i % n];
                 if w.alive && !self.mute.contains(&w.id) {
@@ -494,6 +511,47 @@
                     _ => {}
                 }
             }
+            Op::Mute(many, mute) => {
+                for w in self.workers.iter().take(many % n + 1) {
+                    if mute {
+                        self.mute.insert(w.id.clone());
+                    } else {
+                        self.mute.remove(&w.id);
+                    }
+                }
+            }
+            Op::Copy(i) if !self.mail.is_empty() => {
+                self.copies.push(self.mail[i % self.mail.len()].clone());
+            }
+            Op::Late(i) if !self.copies.is_empty() => {
+                let m = self.copies[i % self.copies.len()].clone();
+                self.repeat(m);
+            }
+            Op::OldReport(i) => {
+                let w = &mut self.workers[i % n];
+                if let Some(old) = self.old.as_mut().filter(|_| w.alive) {
+                    let r = w.report();
+                    old.apply_report(&r, self.now);
+                    if let Some((token, _)) = old.reply(&r.machine, r.token, self.now) {
+                        let orders = old.stops(&r);
+                        self.mail.push(Message::Reply {
+                            to: r.machine,
+                            session: r.session,
+                            token,
+                            orders,
+                            sent: self.now,
+                        });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Workers run, fail, end, come back.
+    fn step_machines(&mut self, op: &Op) {
+        let n = self.workers.len();
+        match op.clone() {
             Op::Run(i, how) => {
                 let w = &mut self.workers[i % n];
                 for t in w.tasks.values_mut() {
@@ -524,32 +582,6 @@
                     w.deaf = deaf;
                 }
             }
-            Op::Mute(many, mute) => {
-                for w in self.workers.iter().take(many % n + 1) {
-                    if mute {
-                        self.mute.insert(w.id.clone());
-                    } else {
-                        self.mute.remove(&w.id);
-                    }
-                }
-            }
-            Op::Chain(leaders) => {
-                for i in 0..usize::from(leaders) {
-                    self.elect();
-                    self.round();
-                    self.pass(Duration::from_millis(1500));
-                    for k in 0..3 {
-                        if !self.mail.is_empty() {
-                            let m = self.mail.remove((i * 7 + k * 3) % self.mail.len());
-                            self.deliver(m);
-                        }
-                    }
-                }
-            }
-            Op::Away => {
-                self.pass(LEASE + secs(2));
-                self.elect();
-            }
             Op::Reboot(i, renewed) => {
                 let w = &mut self.workers[i % n];
                 w.tasks.clear();
@@ -558,30 +590,6 @@
                     w.seq = 0;
                 }
             }
-            Op::Copy(i) if !self.mail.is_empty() => {
-                self.copies.push(self.mail[i % self.mail.len()].clone());
-            }
-            Op::Late(i) if !self.copies.is_empty() => {
-                let m = self.copies[i % self.copies.len()].clone();
-                self.repeat(m);
-            }
-            Op::OldReport(i) => {
-                let w = &mut self.workers[i % n];
-                if let Some(old) = self.old.as_mut().filter(|_| w.alive) {
-                    let r = w.report();
-                    old.apply_report(&r, self.now);
-                    if let Some((token, _)) = old.reply(&r.machine, r.token, self.now) {
-                        let orders = old.stops(&r);
-                        self.mail.push(Message::Reply {
-                            to: r.machine,
-                            session: r.session,
-                            token,
-                            orders,
-                            sent: self.now,
-                        });
-                    }
-                }
-            }
             Op::Release(i) => {
                 // The cloud's 200: the machine is gone, another takes its name's place.
                 let id = self.workers[i % n].id.clone();
@@ -596,6 +604,30 @@
                     }
                 }
             }
+            _ => {}
+        }
+    }
+
+    /// Time passes, leaders change.
+    fn step_leaders(&mut self, op: &Op) {
+        match op.clone() {
+            Op::Chain(leaders) => {
+                for i in 0..usize::from(leaders) {
+                    self.elect();
+                    self.round();
+                    self.pass(Duration::from_millis(1500));
+                    for k in 0..3 {
+                        if !self.mail.is_empty() {
+                            let m = self.mail.remove((i * 7 + k * 3) % self.mail.len());
+                            self.deliver(m);
+                        }
+                    }
+                }
+            }
+            Op::Away => {
+                self.pass(LEASE + secs(2));
+                self.elect();
+            }
             Op::Elect => self.elect(),
             Op::Wait(ms) => self.pass(Duration::from_millis(ms)),
             Op::Freeze(s) => {
@@ -604,7 +636,6 @@
             }
             _ => {}
         }
-        self.round();
     }
 }
 
