--- /dev/null
+++ b/tests/guest.rs
@@ -0,0 +1,71 @@
+//! A guest's work beside that of others, through the real endpoints: one array
+//! of 100,000 tasks, many jobs of one task, and a job that is called off.
+
+#[path = "support/site.rs"]
+mod site;
+#[path = "support/standins.rs"]
+mod standins;
+mod support;
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use site::{on_loopback, Site, LONG};
+
+pub use support::types;
+
+/// Largest value that the settings allow, in bytes.
+const VALUE_BYTES: usize = 4096;
+/// Jobs of one task each.
+const SMALL_JOBS: u32 = 150;
+
+#[test]
+fn an_array_of_100_000_tasks_keeps_neither_others_nor_small_jobs_waiting() {
+    on_loopback(async {
+        let site = Site::with(Duration::from_millis(150), |text| {
+            text.replace("name = \"blue\"", "name = \"blue\"\ncpus_max = 24.0")
+        })
+        .await;
+        let mut array = site.job(0, 100_000);
+        array["cpus"] = json!(0.25);
+        array["memory_gb"] = json!(0.1);
+        array["urgency"] = json!("best_effort");
+        let (status, view) = site.insist("POST", 0, "/v2/runs", Some(array)).await;
+        assert!([200, 201].contains(&status), "{view}");
+        site.until(1, "job-000000", "running").await;
+        for n in 1..=SMALL_JOBS {
+            let mut small = site.job(n, 1);
+            small["cpus"] = json!(0.25);
+            small["memory_gb"] = json!(0.1);
+            site.insist("POST", n as usize % 3, "/v2/runs", Some(small)).await;
+        }
+        // Within a guarantee, beside the guest's.
+        let mut urgent = site.job(900, 4);
+        urgent["desk"] = json!("red");
+        urgent["urgency"] = json!("high");
+        site.insist("POST", 2, "/v2/runs", Some(urgent)).await;
+        site.until(0, "job-000900", "done").await;
+        for n in 1..=SMALL_JOBS {
+            site.until(n as usize % 3, &format!("job-{n:06}"), "done").await;
+        }
+        let array_now = site.until(1, "job-000000", "running").await;
+        assert!(array_now["done"].as_u64() > Some(0), "{array_now}");
+        // What is stored stays within the limits, however many tasks have ended.
+        for key in site.state.stamps().into_keys() {
+            let bytes = site.state.value(&key).map_or(0, |v| v.to_string().len());
+            assert!(bytes <= VALUE_BYTES, "{key} has {bytes} bytes");
+        }
+        let segments = |site: &Site| {
+            let keys = site.state.stamps().into_keys();
+            keys.filter(|k| k.starts_with("wal/")).count()
+        };
+        assert!(segments(&site) <= 40, "{} segments of the log", segments(&site));
+        // Called off, it is gone within the time for a cancellation.
+        let (status, view) = site.insist("POST", 2, "/v2/runs/job-000000/cancel", None).await;
+        assert_eq!((status, &view["standing"]), (200, &json!("cancelled")));
+        let began = Instant::now();
+        site.until_running(|running| running == 0).await;
+        assert!(began.elapsed() < LONG.min(Duration::from_secs(40)));
+        assert!(site.cloud.doubles.lock().is_empty());
+    });
+}
