--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -4,7 +4,7 @@
 
 use super::model::EPS;
 use crate::settings::Team;
-use crate::wire::{JobSpec, Kind, MachineType};
+use crate::wire::{JobId, JobSpec, Kind, MachineType};
 
 /// Why a job can never run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -15,6 +15,15 @@
     /// A task fits no allowed machine type.
     #[error("a task fits no allowed machine type")]
     Type,
+    /// It waits for itself.
+    #[error("a job can't wait for itself")]
+    AwaitsItself,
+    /// It waits for a job that was never accepted.
+    #[error("waits for {0}, which was never accepted")]
+    AwaitsUnknown(JobId),
+    /// It waits for a service, which is never done.
+    #[error("waits for {0}, a service, which is never done")]
+    AwaitsService(JobId),
     /// It needs more than the team's limit.
     #[error("needs more than the team's limit")]
     Limit,
--- a/src/core/borrowed.rs
+++ b/src/core/borrowed.rs
@@ -55,13 +55,14 @@
         let Some(head) = model.jobs.get(&head).filter(|_| served_in_time) else {
             return Self::default();
         };
+        let head_priority = model.priority(head);
         let beyond_guarantee = |id: &JobId| ranks.get(id).is_some_and(|rank| rank.1 != Tier::Guaranteed);
         let jobs = model
             .jobs
             .iter()
             .filter(|(_, job)| job.placed > BEGIN_TASKS)
             .filter(|(_, job)| job.spec.kind == Kind::Array)
-            .filter(|(_, job)| job.spec.priority < head.spec.priority)
+            .filter(|(_, job)| model.priority(job) < head_priority)
             .filter(|(id, _)| beyond_guarantee(id))
             .filter(|(_, job)| model.dues(job).0.is_none())
             .map(|(id, _)| *id)
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -26,9 +26,9 @@
     pub list_lag: Duration,
     /// Least time between two appends to the log.
     pub log_pause: Duration,
-    /// Most changes in a transaction.
+    /// Most changes in a transaction, now and by the limits that are announced.
     pub txn_ops: usize,
-    /// Largest value of the state service, in bytes.
+    /// Largest value of the state service in bytes, likewise.
     pub value_bytes: usize,
     /// Operators' settings.
     pub tuning: crate::settings::Tuning,
@@ -57,8 +57,8 @@
             }),
             list_lag: p.params.cloud.list_lag,
             log_pause: Duration::from_secs_f64(2.0 / p.params.state.write_rps),
-            txn_ops: p.params.state.txn_ops,
-            value_bytes: (p.params.state.value_kb * 1024.0) as usize,
+            txn_ops: p.params.state.least_txn_ops(),
+            value_bytes: p.params.state.value_bytes(),
             tuning,
         }
     }
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -166,9 +166,7 @@
         }
         let (mut free, _) = self.room(now);
         let waiting = self
-            .jobs
-            .values()
-            .filter(|j| !j.cancelled)
+            .jobs_that_want_room()
             .map(|j| f64::from(j.waiting.count()) * j.spec.cpus);
         free -= waiting.sum::<f64>();
         let mut leave = Vec::new();
@@ -271,7 +269,7 @@
     /// that was submitted with a mistake waits until its user cancels it.
     fn work_waits_for_room(&self, now: Instant) -> bool {
         let usage = self.usage();
-        self.jobs.values().filter(|j| j.waiting.count() > 0).any(|job| {
+        self.jobs_that_want_room().any(|job| {
             let team_usage = usage.get(&job.spec.team).copied().unwrap_or_default();
             self.startable(job, team_usage, now) > 0
         })
@@ -432,7 +430,7 @@
         let pending: u32 = self.fleet.pending.values().map(|(_, count)| count).sum();
         let mut total = self.machines.len() + pending as usize;
         let mut usage = self.usage();
-        let mut queue: Vec<_> = self.jobs.values().filter(|j| j.waiting.count() > 0).collect();
+        let mut queue: Vec<_> = self.jobs_that_want_room().collect();
         let ranks = self.ranks(now);
         queue.sort_by_key(|j| ranks.get(&j.spec.id));
         let mut cpus_waiting = 0.0;
@@ -520,9 +518,7 @@
         let mut free: f64 = open_machines.iter().map(|b| b.cpus.max(0.0)).sum();
         let keep = (used + cpus_waiting) * self.warm_share();
         let Some(like) = self
-            .jobs
-            .values()
-            .filter(|j| !j.cancelled)
+            .ready_jobs()
             .map(|j| j.spec.clone())
             .max_by(|a, b| a.cpus.total_cmp(&b.cpus).then(a.spot.cmp(&b.spot)))
         else {
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -83,11 +83,30 @@
         self.done.count() == 0 && self.failures.on_probation(now)
     }
 
+    /// Its cancellation is stored, so that anybody may be told of it.
+    pub fn cancel_is_sure(&self) -> bool {
+        self.cancelled && self.cancel_stored
+    }
+
+    /// Each place where one of its tasks may be, and the task's number.
+    pub(super) fn all_places(&self) -> Vec<(MachineId, u32)> {
+        let places = self.places.iter();
+        places
+            .flat_map(|(index, machines)| machines.iter().map(move |m| (m.clone(), *index)))
+            .collect()
+    }
+
     /// All its tasks are done.
     pub fn complete(&self) -> bool {
         self.spec.kind != Kind::Service && self.done.count() == self.spec.tasks
     }
 
+    /// The time of day at an instant, in milliseconds.
+    pub(super) fn wall_clock(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.arrival);
+        self.at.saturating_add(age.as_millis() as u64)
+    }
+
     /// What survives.
     pub fn record(&self) -> JobRecord {
         JobRecord {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,7 +4,8 @@
 //! [`model`] keeps the jobs ([`job`]) and machines ([`machine`]) of one term, and
 //! what may be where ([`slot`]). [`worker_reports`], [`worker_commands`] and
 //! [`liveness`] hold the rules of evidence, [`plan`] is PV-EASY by the order of [`ranking`], [`probation`]
-//! holds back jobs that fail everywhere, [`fleet`] decides rentals and returns,
+//! holds back jobs that fail everywhere, [`dependencies`] those that wait for other jobs,
+//! [`fleet`] decides rentals and returns,
 //! [`wal`] and [`record`] are what survives a leader.
 
 pub mod admission;
@@ -12,6 +13,7 @@
 pub mod bits;
 mod borrowed;
 pub mod config;
+pub mod dependencies;
 pub mod fleet;
 pub mod job;
 pub mod liveness;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -13,6 +13,7 @@
 use tracing::{debug, info};
 
 use super::config::Config;
+use super::dependencies::{Dependencies, DependencyOutcome, DependentJob, Urgency};
 use super::job::Job;
 use super::machine::{Machine, Phase, TOKEN_BITS};
 use super::record::JobRecord;
@@ -37,6 +38,8 @@
     pub types: Vec<MachineType>,
     /// Unfinished jobs.
     pub jobs: BTreeMap<JobId, Job>,
+    /// Which of them wait for which jobs.
+    pub dependencies: Dependencies,
     /// Machines.
     pub machines: BTreeMap<MachineId, Machine>,
     /// Run-to-estimate ratio of each team's last finished job.
@@ -74,6 +77,7 @@
             term,
             types: Vec::new(),
             jobs: BTreeMap::new(),
+            dependencies: Dependencies::default(),
             machines: BTreeMap::new(),
             ratios: BTreeMap::new(),
             ratios_dirty: false,
@@ -102,7 +106,81 @@
                 }
             }
         }
+        self.add_dependencies(&job);
+        let spec = job.spec.clone();
         self.jobs.insert(id, job);
+        let cancelled = |named: &&JobId| self.jobs.get(named).is_some_and(Job::cancel_is_sure);
+        let cancelled: Vec<JobId> = spec
+            .awaits
+            .iter()
+            .chain([&id])
+            .filter(cancelled)
+            .copied()
+            .collect();
+        for named in cancelled {
+            self.cancel_dependents(named);
+        }
+    }
+
+    fn add_dependencies(&mut self, job: &Job) {
+        let (due, latest_due) = self.own_dues(job);
+        let at = |due: Option<f64>| {
+            let due = Duration::try_from_secs_f64(due?).ok()?;
+            job.arrival.checked_add(due)
+        };
+        let dependent = DependentJob {
+            id: job.spec.id,
+            awaits: &job.spec.awaits,
+            urgency: Urgency {
+                priority: job.spec.priority,
+                due: at(due),
+                latest_due: at(latest_due),
+            },
+            run_time: self.predict(&job.spec),
+        };
+        let jobs = &self.jobs;
+        self.dependencies.add(&dependent, |named| {
+            jobs.get(&named).is_some_and(|j| !j.cancel_is_sure())
+        });
+    }
+
+    /// Takes what the state service says of a job that others name.
+    pub fn resolve_dependency(&mut self, id: JobId, outcome: DependencyOutcome) {
+        match outcome {
+            DependencyOutcome::Done(since) => self.dependencies.done(id, since),
+            DependencyOutcome::Cancelled => self.cancel_dependents(id),
+        }
+    }
+
+    /// Cancels all jobs that need a job whose cancellation is stored. That record
+    /// holds for them, too: theirs need not be stored before anybody is told.
+    fn cancel_dependents(&mut self, id: JobId) {
+        for dependent in self.dependencies.cancelled(id) {
+            // One that its own user cancels meanwhile has its own record on its way.
+            if let Some(job) = self.jobs.get_mut(&dependent).filter(|j| !j.cancelled) {
+                job.cancelled = true;
+                job.cancel_stored = true;
+                info!(job = %dependent, needs = %id, "cancelled with a job that it needs");
+            }
+        }
+    }
+
+    /// Whether a job has tasks that may be placed as far as the job goes: it is
+    /// neither cancelled nor waiting for others.
+    pub fn wants_room(&self, job: &Job) -> bool {
+        !job.cancelled && job.waiting.count() > 0 && self.dependencies.is_ready(job.spec.id)
+    }
+
+    /// The jobs that want room, see [`Model::wants_room`].
+    pub fn jobs_that_want_room(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().filter(|job| self.wants_room(job))
+    }
+
+    /// When a job began to wait for room: when it arrived, or when the last job
+    /// that it needs was done.
+    pub fn ready_since(&self, job: &Job) -> Instant {
+        let done = self.dependencies.ready_since(job.spec.id);
+        done.map_or(job.arrival, |t| t.max(job.arrival))
     }
 
     /// Takes a cancellation that has been stored.
@@ -110,18 +188,18 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.cancel_stored = true;
         }
+        self.cancel_dependents(id);
     }
 
     /// Asks for a job's tasks to be stopped, and lets none start any more.
     pub fn cancel(&mut self, id: JobId, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.cancelled = true;
-        for (machine, index) in job
-            .places
-            .iter()
-            .flat_map(|(i, l)| l.iter().map(move |m| (m.clone(), *i)))
-            .collect::<Vec<_>>()
-        {
+        let places = job.all_places();
+        if !job.cancel_stored {
+            self.dependencies.cancelling(id);
+        }
+        for (machine, index) in places {
             self.stop(
                 &machine,
                 TaskId { job: id, index },
@@ -135,19 +213,21 @@
     /// Removes a finished job.
     pub fn remove_job(&mut self, id: JobId) {
         self.jobs.remove(&id);
+        self.dependencies.forget(id);
     }
 
-    /// What its user is told; `None` also while a cancellation or a final state
-    /// is on its way to be stored. It may be stored already though no answer
-    /// says so, and another controller that read it may have told the user: only
-    /// what is stored is sure then.
+    /// What its user is told; `None` also while a final state or a cancellation,
+    /// its own or of a job that it needs, is on its way to be stored. It may be
+    /// stored already though no answer says so, and another controller that read
+    /// it may have told the user: only what is stored is sure then.
     pub fn view(&self, id: JobId) -> Option<JobView> {
         let job = self.jobs.get(&id)?;
-        if job.writing || job.cancelled && !job.cancel_stored {
+        let cancelled = job.cancel_is_sure();
+        if !cancelled && (job.writing || job.cancelled || self.dependencies.in_doubt(id)) {
             return None;
         }
         let running = job.running.len() as u32;
-        let state = if job.cancelled && job.cancel_stored {
+        let state = if cancelled {
             Standing::Cancelled
         } else if running > 0 {
             Standing::Running
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -65,9 +65,7 @@
         let mut names: Vec<String> = Vec::new();
         // The least that any waiting task takes.
         let least = model
-            .jobs
-            .values()
-            .filter(|j| !j.cancelled && j.waiting.count() > 0)
+            .jobs_that_want_room()
             .map(|j| j.spec.cpus)
             .fold(f64::MAX, f64::min);
         let mut rooms = Vec::new();
@@ -387,6 +385,7 @@
             return true;
         };
         job.cancelled
+            || !self.model.dependencies.is_ready(id)
             || job.broken_gang()
             || job.pause_until.is_some_and(|t| t > self.now)
             || job.placed >= self.model.admitted(job, self.now)
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -70,16 +70,14 @@
 
     fn round(&mut self, now: Instant, plainly: bool) -> Round {
         let mut round = Round::default();
-        if !self.jobs.values().any(|j| !j.cancelled && j.waiting.count() > 0) {
+        if self.jobs_that_want_room().next().is_none() {
             self.all_sunny();
             return round;
         }
         self.end_cordons(now);
         let ranks = self.ranks(now);
         let mut queue: Vec<(Rank, JobId)> = self
-            .jobs
-            .values()
-            .filter(|j| !j.cancelled && j.waiting.count() > 0)
+            .jobs_that_want_room()
             .filter_map(|j| Some((*ranks.get(&j.spec.id)?, j.spec.id)))
             .collect();
         queue.sort_unstable();
@@ -171,9 +169,8 @@
             return;
         }
         let top = self
-            .jobs
-            .values()
-            .filter(|j| !j.cancelled && j.waiting.count() > 0 && j.pause_until.is_none_or(|t| t <= now))
+            .jobs_that_want_room()
+            .filter(|j| j.pause_until.is_none_or(|t| t <= now))
             .filter_map(|j| ranks.get(&j.spec.id))
             .min();
         for m in self.machines.values_mut() {
--- a/src/core/ranking.rs
+++ b/src/core/ranking.rs
@@ -57,11 +57,24 @@
         Duration::from_secs_f64(spec.estimate_s * ratio.min(1.0))
     }
 
+    /// Jobs that have a place in the queue, placed or not: neither cancelled nor
+    /// waiting for others.
+    pub(super) fn ready_jobs(&self) -> impl Iterator<Item = &Job> {
+        let ready = |job: &&Job| !job.cancelled && self.dependencies.is_ready(job.spec.id);
+        self.jobs.values().filter(ready)
+    }
+
+    /// The priority of a job: its own, or a higher one of a job that needs it.
+    pub fn priority(&self, job: &Job) -> Priority {
+        let inherited = self.dependencies.inherited(job.spec.id);
+        inherited.map_or(job.spec.priority, |i| i.priority.max(job.spec.priority))
+    }
+
     /// Jobs that fit into their team's guarantee along with the team's earlier
     /// unfinished ones.
     fn guaranteed(&self) -> HashSet<JobId> {
-        let mut by_arrival: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
-        by_arrival.sort_by_key(|j| (j.arrival, j.spec.id));
+        let mut by_arrival: Vec<&Job> = self.ready_jobs().collect();
+        by_arrival.sort_by_cached_key(|j| (self.ready_since(j), j.spec.id));
         let mut sums: HashMap<&str, Usage> = HashMap::new();
         let mut within = HashSet::new();
         for j in by_arrival {
@@ -80,8 +93,25 @@
     }
 
     /// When a job is due, in seconds from its arrival, by the strictest and by
-    /// the laxest of what its users were told.
+    /// the laxest of what its users were told of it and of the jobs that need it.
     pub(super) fn dues(&self, job: &Job) -> (Option<f64>, Option<f64>) {
+        let (own, own_latest) = self.own_dues(job);
+        let Some(inherited) = self.dependencies.inherited(job.spec.id) else {
+            return (own, own_latest);
+        };
+        let from_arrival = |due: Instant| match due.checked_duration_since(job.arrival) {
+            Some(left) => left.as_secs_f64(),
+            None => -job.arrival.duration_since(due).as_secs_f64(),
+        };
+        let due = inherited.due.map(from_arrival);
+        let latest = inherited.latest_due.map(from_arrival);
+        let strictest = [own, due].into_iter().flatten().reduce(f64::min);
+        let laxest = [own_latest, latest].into_iter().flatten().reduce(f64::max);
+        (strictest, laxest)
+    }
+
+    /// The same by what its users were told of the job itself.
+    pub(super) fn own_dues(&self, job: &Job) -> (Option<f64>, Option<f64>) {
         let class = Some(&job.spec.class);
         let objectives = self
             .config
@@ -93,7 +123,10 @@
             .deadline_s
             .into_iter()
             .chain(objectives.filter_map(|o| match o.kind.as_str() {
-                "finished" => o.within_s,
+                "finished" => {
+                    let waited = self.ready_since(job).saturating_duration_since(job.arrival);
+                    Some(o.within_s? + waited.as_secs_f64())
+                }
                 "deadline" => Some(job.spec.deadline_s? * o.times.unwrap_or(1.0)),
                 _ => None,
             }));
@@ -121,16 +154,15 @@
     /// Places of all unfinished jobs in the queue.
     pub fn ranks(&self, now: Instant) -> BTreeMap<JobId, Rank> {
         let within = self.guaranteed();
-        self.jobs
-            .iter()
-            .filter(|(_, j)| !j.cancelled)
-            .map(|(id, j)| {
-                let age = now.saturating_duration_since(j.arrival);
+        self.ready_jobs()
+            .map(|j| {
+                let id = &j.spec.id;
+                let age = now.saturating_duration_since(self.ready_since(j));
                 let starved = age > STARVED_AFTER && !j.begun();
                 let priority = if starved && age > LIFT_AFTER {
                     Priority::Production
                 } else {
-                    j.spec.priority
+                    self.priority(j)
                 };
                 let tier = if starved {
                     Tier::Starved
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -65,4 +65,9 @@
     pub state: Standing,
     /// Tasks done.
     pub done: u32,
+    /// When it ended, in milliseconds of the time of day: the times of jobs that
+    /// wait for it count from then, also for a later leader. Earlier versions
+    /// neither write nor need it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended_at: Option<u64>,
 }
--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -5,6 +5,7 @@
 
 use tracing::info;
 
+use super::dependencies::DependencyOutcome;
 use super::job::Job;
 use super::model::{Model, LEAST_RATIO};
 use super::record::{self, FinalRecord};
@@ -67,11 +68,20 @@
             out.extend(self.take_log(now).map(Write::Log));
         }
         let mut learned = Vec::new();
+        self.stop_cancelled(now);
+        let cancelled_on_their_way = self.jobs.values().filter(|j| j.writing && j.cancelled).count();
+        let mut cancelled_left = self.config.txn_ops.max(2).saturating_sub(cancelled_on_their_way);
         for (id, job) in &mut self.jobs {
             if job.writing || !job.places.is_empty() {
                 continue;
             }
-            let state = if job.cancelled && job.cancel_stored {
+            let state = if job.cancel_is_sure() {
+                // A long chain is cancelled at once; its many final states must
+                // not hold up the log.
+                if cancelled_left == 0 {
+                    continue;
+                }
+                cancelled_left -= 1;
                 Standing::Cancelled
             } else if job.complete() && !job.cancelled {
                 learned.extend(ratio(job).map(|r| (job.spec.team.clone(), r)));
@@ -85,6 +95,7 @@
                 record: FinalRecord {
                     state,
                     done: job.done.count(),
+                    ended_at: Some(job.wall_clock(now)),
                 },
             });
         }
@@ -99,23 +110,37 @@
         {
             self.ratios_dirty = false;
             self.ratios_written = Some(now);
-            let fits = self.config.value_bytes / 64;
-            out.push(Write::Ratios(
-                self.ratios
-                    .iter()
-                    .take(fits)
-                    .map(|(k, v)| (k.clone(), *v))
-                    .collect(),
-            ));
+            out.push(Write::Ratios(self.ratios_that_fit()));
         }
         out
     }
 
+    /// The ratios, as many as fit into a value: a team without one is predicted
+    /// by its estimates.
+    fn ratios_that_fit(&self) -> BTreeMap<String, f64> {
+        let bytes = |entry: &(&String, &f64)| serde_json::to_string(entry).map_or(0, |text| text.len());
+        let mut left = self.config.value_bytes;
+        let fitting = self.ratios.iter().take_while(|entry| {
+            left = left.saturating_sub(bytes(entry));
+            left > 0
+        });
+        fitting.map(|(team, ratio)| (team.clone(), *ratio)).collect()
+    }
+
+    /// Stops what may be left of jobs that were cancelled with one that they need.
+    /// They have no tasks, unless a version that knows of no dependencies led
+    /// meanwhile.
+    fn stop_cancelled(&mut self, now: Instant) {
+        let left = |j: &&Job| j.cancel_is_sure() && !j.places.is_empty();
+        let ids: Vec<JobId> = self.jobs.values().filter(left).map(|j| j.spec.id).collect();
+        for id in ids {
+            self.cancel(id, now);
+        }
+    }
+
     fn take_log(&mut self, now: Instant) -> Option<Append> {
         let per = self.config.value_bytes.max(1);
-        let most = (MOST_BYTES / per)
-            .min(self.config.txn_ops.saturating_sub(1))
-            .max(1);
+        let most = (MOST_BYTES / per).min(self.config.txn_ops).max(1);
         let slots: usize = self.machines.values().map(|m| m.slots.len()).sum();
         let done: usize = self.jobs.values().map(|j| j.done.count() as usize).sum();
         let live_bytes = self.machines.len() * 90 + slots * 50 + done * 6;
@@ -148,11 +173,16 @@
     }
 
     /// A write is stored, or was not.
-    pub fn written(&mut self, w: &Write, ok: bool, _now: Instant) {
+    pub fn written(&mut self, w: &Write, ok: bool, now: Instant) {
         match w {
             Write::Log(a) if ok => self.log.appended(a),
             Write::Final { id, record } => {
                 if ok {
+                    let outcome = match record.state {
+                        Standing::Cancelled => DependencyOutcome::Cancelled,
+                        _ => DependencyOutcome::Done(Some(now)),
+                    };
+                    self.resolve_dependency(*id, outcome);
                     self.remove_job(*id);
                 } else if let Some(job) = self.jobs.get_mut(id) {
                     job.writing = false;
--- a/src/core/wal.rs
+++ b/src/core/wal.rs
@@ -38,8 +38,20 @@
     }
 }
 
-/// Most task numbers in an entry, so that none outgrows a segment.
+/// Most task numbers in an entry, where a segment holds as many.
 const MOST_INDICES: usize = 200;
+/// Bytes of a task number in an entry: five digits, as many as the largest job
+/// has, a comma, and one to spare.
+const INDEX_BYTES: usize = 7;
+/// Bytes of all else in an entry: the names of a machine and a job, an attempt.
+const ENTRY_BYTES: usize = 160;
+/// Bytes of a value that a segment leaves free.
+const VALUE_MARGIN: usize = 256;
+/// Least bytes of a segment.
+const LEAST_SEGMENT: usize = 512;
+/// A transaction of so few changes has no room for both new entries and a whole
+/// step of a compaction.
+const SMALL_TRANSACTION: usize = 2;
 
 #[derive(Debug, Default, Clone)]
 struct Segment {
@@ -47,6 +59,17 @@
     bytes: usize,
 }
 
+/// The oldest segment on its way out: what is live of it is written again at the
+/// end, over as many appends as that takes, and the last of them deletes it. It
+/// may be larger than the limits allow by now. Until it is deleted, what was
+/// moved stands twice, which changes nothing of a replay.
+#[derive(Debug)]
+struct Compaction {
+    segment: u64,
+    /// Entries that are still to be moved.
+    left: Vec<Entry>,
+}
+
 /// An append on its way: segments to be written, or to be deleted (`None`).
 #[derive(Debug, Clone, PartialEq)]
 pub struct Append {
@@ -95,6 +118,11 @@
 pub struct Log {
     /// Most bytes of a segment.
     limit: usize,
+    /// Most task numbers in an entry, so that none outgrows a segment.
+    most_indices: usize,
+    compaction: Option<Compaction>,
+    /// The last append took a step of a compaction.
+    compacted: bool,
     segments: BTreeMap<u64, Segment>,
     /// The segment that is being filled; those of earlier terms stay as they are.
     open: Option<u64>,
@@ -111,8 +139,12 @@
 impl Log {
     /// An empty log whose segments hold at most `value_bytes`.
     pub fn new(value_bytes: usize) -> Self {
+        let limit = value_bytes.saturating_sub(VALUE_MARGIN).max(LEAST_SEGMENT);
         Self {
-            limit: value_bytes.saturating_sub(256).max(512),
+            limit,
+            most_indices: (limit.saturating_sub(ENTRY_BYTES) / INDEX_BYTES).clamp(1, MOST_INDICES),
+            compaction: None,
+            compacted: false,
             segments: BTreeMap::new(),
             open: None,
             next: 1,
@@ -151,14 +183,14 @@
         self.pushed += 1;
         let joined = match (self.pending.last_mut(), &e) {
             (Some((Entry::Start(m, j, a, list), mark)), Entry::Start(m2, j2, a2, more))
-                if m == m2 && j == j2 && a == a2 && list.len() < MOST_INDICES =>
+                if m == m2 && j == j2 && a == a2 && list.len() < self.most_indices =>
             {
                 list.extend(more);
                 *mark = self.pushed;
                 true
             }
             (Some((Entry::Done(j, list), mark)), Entry::Done(j2, more))
-                if j == j2 && list.len() < MOST_INDICES =>
+                if j == j2 && list.len() < self.most_indices =>
             {
                 list.extend(more);
                 *mark = self.pushed;
@@ -182,9 +214,9 @@
         !self.in_flight && !self.pending.is_empty() && (self.urgent || time)
     }
 
-    /// Takes what is pending, at most so many segments. The oldest segment is
-    /// compacted with it if the log has grown well past `live_bytes`; `live`
-    /// gives what of an entry is still true.
+    /// Takes what is pending, with at most so many segments written or deleted.
+    /// The oldest segment is compacted with it if the log has grown well past
+    /// `live_bytes`; `live` gives what of an entry is still true.
     pub fn take(
         &mut self,
         most: usize,
@@ -195,62 +227,99 @@
             return None;
         }
         let mut changed: BTreeSet<u64> = BTreeSet::new();
-        let mut dropped = None;
-        let mut again: Vec<Entry> = Vec::new();
-        let room_for = 4 + 2 * live_bytes.div_ceil(self.limit);
-        if most >= 4 && self.segments.len() > room_for {
-            let oldest = self.segments.first_key_value().map(|(n, _)| *n);
-            if let Some(n) = oldest.filter(|n| Some(*n) != self.open) {
-                let s = self.segments.remove(&n).unwrap_or_default();
-                again = merged(s.entries.iter().filter_map(&live));
-                dropped = Some(n);
-            }
-        }
         // What is written again comes first: it is older than what is new.
-        let most = most - usize::from(dropped.is_some());
-        let pending = std::mem::take(&mut self.pending);
+        let deleted = self.compact(most, live_bytes, live, &mut changed);
+        let most_changed = (most - usize::from(deleted.is_some())).max(1);
         let mut upto = self.stored;
         let mut left = Vec::new();
-        // A compacted segment's entries fit in two segments, so they go whole.
-        let all = again.into_iter().map(|e| (e, None));
-        for (e, mark) in all.chain(pending.into_iter().map(|(e, m)| (e, Some(m)))) {
-            let bytes = e.bytes();
-            let at = match self.open {
-                _ if !left.is_empty() => None,
-                Some(n) if self.segments[&n].bytes + bytes <= self.limit => Some(n),
-                _ if changed.len() >= most => None,
-                _ => {
-                    let n = self.next;
-                    self.next += 1;
-                    self.segments.insert(n, Segment::default());
-                    self.open = Some(n);
-                    Some(n)
-                }
-            };
-            let Some(at) = at else {
-                left.extend(mark.map(|m| (e, m)));
-                continue;
-            };
-            changed.insert(at);
-            upto = mark.unwrap_or(upto);
-            let s = self.segments.entry(at).or_default();
-            s.bytes += bytes;
-            s.entries.push(e);
+        for (entry, mark) in std::mem::take(&mut self.pending) {
+            if left.is_empty() && self.write(&entry, &mut changed, most_changed) {
+                upto = mark;
+            } else {
+                left.push((entry, mark));
+            }
         }
         self.urgent = left.iter().any(|(e, _)| matches!(e, Entry::Start(..)));
         self.pending = left;
         self.in_flight = true;
-        let mut segments: Vec<_> = changed
-            .iter()
-            .map(|n| {
-                let v = serde_json::to_value(&self.segments[n].entries).unwrap_or(Value::Null);
-                (*n, Some(v))
-            })
-            .collect();
-        segments.extend(dropped.map(|n| (n, None)));
+        let value = |n: &u64| serde_json::to_value(&self.segments[n].entries).unwrap_or(Value::Null);
+        let mut segments: Vec<_> = changed.iter().map(|n| (*n, Some(value(n)))).collect();
+        segments.extend(deleted.map(|n| (n, None)));
         Some(Append { segments, upto })
     }
 
+    /// Writes an entry to the open segment or a new one, if no more segments are
+    /// changed by that than may be. Whether it did.
+    fn write(&mut self, entry: &Entry, changed: &mut BTreeSet<u64>, most_changed: usize) -> bool {
+        let bytes = entry.bytes();
+        let may_change = |n: &u64| changed.contains(n) || changed.len() < most_changed;
+        let fitting = self.open.filter(|n| self.segments[n].bytes + bytes <= self.limit);
+        let number = match fitting {
+            Some(open) if may_change(&open) => open,
+            None if changed.len() < most_changed => {
+                self.next += 1;
+                self.open = Some(self.next - 1);
+                self.next - 1
+            }
+            _ => return false,
+        };
+        changed.insert(number);
+        let segment = self.segments.entry(number).or_default();
+        segment.bytes += bytes;
+        segment.entries.push(entry.clone());
+        true
+    }
+
+    /// Takes a step of a compaction, if one is due; the segment that is to be
+    /// deleted once this append is stored, if the step is the last.
+    fn compact(
+        &mut self,
+        most: usize,
+        live_bytes: usize,
+        live: impl Fn(&Entry) -> Option<Entry>,
+        changed: &mut BTreeSet<u64>,
+    ) -> Option<u64> {
+        let waits_its_turn = most <= SMALL_TRANSACTION && self.compacted;
+        self.compacted = false;
+        if most < SMALL_TRANSACTION || waits_its_turn {
+            return None;
+        }
+        let compaction = self
+            .compaction
+            .take()
+            .or_else(|| self.next_compaction(live_bytes))?;
+        self.compacted = true;
+        // One change is kept for the deletion, one for what is new.
+        let most_changed = most.saturating_sub(2).max(1);
+        let entries = merged(compaction.left.iter().filter_map(live), self.most_indices);
+        let mut left = Vec::new();
+        for entry in entries {
+            if !left.is_empty() || !self.write(&entry, changed, most_changed) {
+                left.push(entry);
+            }
+        }
+        let segment = compaction.segment;
+        if !left.is_empty() {
+            self.compaction = Some(Compaction { segment, left });
+            return None;
+        }
+        self.segments.remove(&segment);
+        Some(segment)
+    }
+
+    /// The compaction of the oldest segment, if the log is longer than it needs to be.
+    fn next_compaction(&self, live_bytes: usize) -> Option<Compaction> {
+        let room_for = 4 + 2 * live_bytes.div_ceil(self.limit);
+        if self.segments.len() <= room_for {
+            return None;
+        }
+        let (number, oldest) = self.segments.first_key_value()?;
+        (Some(*number) != self.open).then(|| Compaction {
+            segment: *number,
+            left: oldest.entries.clone(),
+        })
+    }
+
     /// An append is stored.
     pub fn appended(&mut self, a: &Append) {
         self.in_flight = false;
@@ -261,17 +330,28 @@
 /// The entries with those of done tasks put together by job: a huge array ends
 /// task by task between all others, and an entry for each would make its log
 /// several times as long as what it says.
-fn merged(entries: impl Iterator<Item = Entry>) -> Vec<Entry> {
+///
+/// No entry holds more than so many task numbers: earlier ones may be larger than
+/// the limits allow by now.
+fn merged(entries: impl Iterator<Item = Entry>, most_indices: usize) -> Vec<Entry> {
     let mut out = Vec::new();
     let mut done: BTreeMap<JobId, Vec<u32>> = BTreeMap::new();
     for e in entries {
         match e {
             Entry::Done(job, tasks) => done.entry(job).or_default().extend(tasks),
+            Entry::Start(machine, job, attempt, tasks) => {
+                let parts = tasks.chunks(most_indices);
+                out.extend(parts.map(|part| Entry::Start(machine.clone(), job, attempt, part.to_vec())));
+            }
             other => out.push(other),
         }
     }
     for (job, tasks) in done {
-        out.extend(tasks.chunks(MOST_INDICES).map(|c| Entry::Done(job, c.to_vec())));
+        out.extend(
+            tasks
+                .chunks(most_indices)
+                .map(|part| Entry::Done(job, part.to_vec())),
+        );
     }
     out
 }
--- a/src/core/worker_commands.rs
+++ b/src/core/worker_commands.rs
@@ -97,7 +97,7 @@
     pub fn command(&mut self, machine: &MachineId, now: Instant) -> Option<(String, Commands)> {
         let term = self.term;
         let types = &self.types;
-        let (log, jobs) = (&self.log, &self.jobs);
+        let (log, jobs, dependencies) = (&self.log, &self.jobs, &self.dependencies);
         let patience = self.config.report * 2;
         let m = self.machines.get_mut(machine)?;
         if m.commanding || m.addr.is_empty() || m.command_after.is_some_and(|t| t > now) {
@@ -149,7 +149,8 @@
                 continue;
             }
             let Some(s) = &slot.spec else { continue };
-            if jobs.get(&task.job).is_none_or(|j| j.cancelled) {
+            // Asked once more here, whatever led to the placement.
+            if jobs.get(&task.job).is_none_or(|j| j.cancelled) || !dependencies.is_ready(task.job) {
                 continue;
             }
             if slot.start_token == 0 {
--- /dev/null
+++ b/src/job_lookup.rs
@@ -0,0 +1,178 @@
+//! What is stored of a job, and of the jobs that it waits for.
+//!
+//! Anybody who answers for an unfinished job has to know whether a job before
+//! it was cancelled: that stored cancellation holds for all jobs after it, long
+//! before their own records say so.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use crate::core::admission::Unfit;
+use crate::core::record::{self, FinalRecord, JobRecord};
+use crate::node::Node;
+use crate::peer::Reply;
+use crate::store::StoreError;
+use crate::wire::{JobId, JobSpec, JobView, Kind, Standing};
+
+/// Final states kept at hand; the rest is read from the state service.
+const MOST_FINALS: usize = 50_000;
+
+/// Final states of jobs: once known they hold for ever.
+#[derive(Debug, Default)]
+pub struct Finals {
+    records: HashMap<JobId, FinalRecord>,
+    order: VecDeque<JobId>,
+}
+
+impl Finals {
+    /// Keeps a final state.
+    pub fn keep(&mut self, id: JobId, record: FinalRecord) {
+        let ended_at = record.ended_at;
+        match self.records.insert(id, record) {
+            None => self.order.push_back(id),
+            // What passes by in another controller's answer tells no time.
+            Some(old) if ended_at.is_none() => {
+                self.records.entry(id).and_modify(|r| r.ended_at = old.ended_at);
+            }
+            Some(_) => {}
+        }
+        if self.order.len() > MOST_FINALS {
+            if let Some(old) = self.order.pop_front() {
+                self.records.remove(&old);
+            }
+        }
+    }
+
+    /// The final record, if at hand.
+    pub fn record(&self, id: JobId) -> Option<&FinalRecord> {
+        self.records.get(&id)
+    }
+
+    /// What its user is told, if at hand.
+    pub fn view(&self, id: JobId) -> Option<JobView> {
+        self.records.get(&id).map(|record| final_view(id, record))
+    }
+}
+
+fn final_view(id: JobId, record: &FinalRecord) -> JobView {
+    JobView {
+        id,
+        state: record.state,
+        done: record.done,
+        running: 0,
+    }
+}
+
+/// What the state service says of a job.
+#[derive(Debug)]
+pub enum Lookup {
+    /// Not finished: its record, and the version of that.
+    Active(Box<JobRecord>, u64),
+    /// Finished.
+    Final(JobView),
+    /// Never accepted.
+    Absent,
+}
+
+impl Node {
+    /// What the state service says of a job, read afresh. The unfinished ones
+    /// come first: a job moves from there to the finished ones, never back.
+    pub async fn lookup(&self, id: JobId) -> Result<Lookup, StoreError> {
+        if let Ok(item) = self.store.get_soon(&record::job_key(id)).await? {
+            let record = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
+            return Ok(Lookup::Active(Box::new(record), item.version));
+        }
+        if let Ok(item) = self.store.get_soon(&record::final_key(id)).await? {
+            let record: FinalRecord =
+                serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
+            let view = final_view(id, &record);
+            self.finals.lock().keep(id, record);
+            return Ok(Lookup::Final(view));
+        }
+        Ok(Lookup::Absent)
+    }
+
+    /// The state of a job that was looked up, given the jobs before it; `None`:
+    /// it was never accepted. How far an unfinished one is, only the leader knows.
+    pub async fn standing(&self, found: &Lookup) -> Result<Option<Standing>, StoreError> {
+        Ok(match found {
+            Lookup::Absent => None,
+            Lookup::Final(view) => Some(view.state),
+            Lookup::Active(record, _) if record.cancelled => Some(Standing::Cancelled),
+            Lookup::Active(record, _) if self.any_cancelled(&record.spec.awaits).await? => {
+                Some(Standing::Cancelled)
+            }
+            Lookup::Active(..) => Some(Standing::Queued),
+        })
+    }
+
+    /// Whether one of the jobs, or a job before them, is cancelled.
+    async fn any_cancelled(&self, jobs: &[JobId]) -> Result<bool, StoreError> {
+        let mut seen: HashSet<JobId> = jobs.iter().copied().collect();
+        let mut next: VecDeque<JobId> = jobs.iter().copied().collect();
+        while let Some(id) = next.pop_front() {
+            let known = self.finals.lock().view(id);
+            let found = match known {
+                Some(view) => Lookup::Final(view),
+                None => self.lookup(id).await?,
+            };
+            match found {
+                Lookup::Final(view) if view.state == Standing::Cancelled => return Ok(true),
+                Lookup::Active(record, _) if record.cancelled => return Ok(true),
+                Lookup::Active(record, _) => {
+                    let before = record.spec.awaits.into_iter();
+                    next.extend(before.filter(|named| seen.insert(*named)));
+                }
+                Lookup::Final(_) | Lookup::Absent => {}
+            }
+        }
+        Ok(false)
+    }
+
+    /// The answer about a job that was looked up.
+    pub async fn reply_about(&self, id: JobId, found: &Lookup) -> Reply {
+        if let Lookup::Final(view) = found {
+            return Reply::json(200, view);
+        }
+        match self.standing(found).await {
+            Ok(None) => Reply::error(404, "no such job"),
+            Ok(Some(state)) => Reply::json(
+                200,
+                &JobView {
+                    id,
+                    state,
+                    done: 0,
+                    running: 0,
+                },
+            ),
+            Err(_) => Reply::later("the state of a job that it needs can't be read now"),
+        }
+    }
+
+    /// Checks that all jobs which a new one names were accepted and can end;
+    /// `in_memory` gives the kind of those that are known to be unfinished.
+    pub async fn check_awaits(
+        &self,
+        spec: &JobSpec,
+        in_memory: impl Fn(JobId) -> Option<Kind>,
+    ) -> Result<(), Reply> {
+        for named in &spec.awaits {
+            let mut kind = in_memory(*named);
+            if kind.is_none() && self.finals.lock().record(*named).is_none() {
+                kind = match self.lookup(*named).await {
+                    Ok(Lookup::Active(record, _)) => Some(record.spec.kind),
+                    Ok(Lookup::Final(_)) => None,
+                    Ok(Lookup::Absent) => {
+                        let reason = Unfit::AwaitsUnknown(*named);
+                        return Err(Reply::error(422, &reason.to_string()));
+                    }
+                    Err(_) => return Err(Reply::later("a job that it waits for can't be read now")),
+                };
+            }
+            if kind == Some(Kind::Service) {
+                let reason = Unfit::AwaitsService(*named);
+                return Err(Reply::error(422, &reason.to_string()));
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/leader/active_leader.rs
+++ b/src/leader/active_leader.rs
@@ -1,5 +1,6 @@
 //! The leader of one term: takeover, scheduling rounds, and answers.
 
+mod dependency_lookup;
 mod fleet_loop;
 mod job_intake;
 mod report_routing;
@@ -50,13 +51,15 @@
     over: AtomicBool,
     ended: Notify,
     wake: Notify,
+    /// Jobs that others wait for are to be looked up.
+    unresolved: Notify,
     redirects: Mutex<RedirectHistory>,
 }
 
 impl ActiveLeader {
     /// A term that was just won by a request sent at `sent`.
     pub fn new(node: Arc<Node>, term: u64, lease: u64, sent: Instant) -> Arc<Self> {
-        let most = node.platform.params.state.txn_ops;
+        let most = node.config.txn_ops;
         let writer = Writer::new(node.store.clone(), record::LEADER, term, most);
         let model = Model::new(node.config.clone(), term);
         let workers = &node.platform.params.workers;
@@ -79,6 +82,7 @@
             over: AtomicBool::new(false),
             ended: Notify::new(),
             wake: Notify::new(),
+            unresolved: Notify::new(),
             redirects: Mutex::default(),
             node,
         })
@@ -145,6 +149,7 @@
             let mut loops = JoinSet::new();
             loops.spawn(loading.clone().watch_inbox());
             loops.spawn(loading.clone().reconcile_jobs());
+            loops.spawn(loading.clone().look_up_dependencies());
             loops.spawn(loading.clone().refresh_machine_types());
             loops.spawn(loading.clone().list_machines());
             loops.spawn(loading.clone().rounds());
--- a/src/leader/active_leader/job_intake.rs
+++ b/src/leader/active_leader/job_intake.rs
@@ -8,7 +8,8 @@
 use tracing::info;
 
 use crate::core::record::{self, JobRecord};
-use crate::node::{wall_ms, Lookup};
+use crate::job_lookup::Lookup;
+use crate::node::wall_ms;
 use crate::store::{StoreError, Unit};
 use crate::wire::JobId;
 
@@ -141,6 +142,7 @@
         info!(job = %id, "picked up");
         m.add_job(r, now.checked_sub(age).unwrap_or(now));
         drop(m);
+        self.resolve_from_memory();
         self.wake.notify_one();
     }
 }
--- a/src/leader/active_leader/scheduling_loop.rs
+++ b/src/leader/active_leader/scheduling_loop.rs
@@ -79,16 +79,16 @@
         let result = self.writer.commit(unit).await;
         if let Err(CommitError::Conflict(keys)) = &result {
             info!(?keys, "a write met a changed key");
-            if matches!(w, Write::Log(_)) {
-                // The log is this term's alone: what it holds is in doubt now,
-                // and the next term reads it anew.
-                return self.end();
-            }
+        }
+        if result.is_err() && matches!(w, Write::Log(_)) {
+            // The log is this term's alone: what it holds is in doubt now, and
+            // the next term reads it anew.
+            return self.end();
         }
         let ok = result.is_ok();
         if let (true, Write::Final { id, record }) = (ok, &w) {
             // Before the job leaves the model, so that no answer falls between.
-            self.node.finals.lock().keep(*id, record.state, record.done);
+            self.node.finals.lock().keep(*id, record.clone());
             debug!(job = %id, state = ?record.state, "finished");
         }
         self.model.lock().written(&w, ok, Instant::now());
--- a/src/leader/active_leader/user_requests.rs
+++ b/src/leader/active_leader/user_requests.rs
@@ -8,7 +8,8 @@
 use tracing::{debug, info};
 
 use crate::core::record::{self, JobRecord};
-use crate::node::{accepted, view_reply, wall_ms, Lookup};
+use crate::job_lookup::Lookup;
+use crate::node::{accepted, wall_ms};
 use crate::peer::Reply;
 use crate::store::{CommitError, Unit};
 use crate::wire::{JobId, JobSpec};
@@ -43,6 +44,10 @@
             let bad = Reply::error(400, "the job's description is too long");
             return self.unless_known(id, bad).await;
         }
+        let in_memory = |named| self.model.lock().jobs.get(&named).map(|j| j.spec.kind);
+        if let Err(bad) = self.node.check_awaits(&rec.spec, in_memory).await {
+            return self.unless_known(id, bad).await;
+        }
         // What can't be stored in time is refused at once.
         let within = self.node.store.changes_within(STORED_WITHIN);
         if self.writer.urgent_waiting() as f64 > within {
@@ -52,7 +57,7 @@
         let stored = tokio::spawn(async move { active_leader.accept(rec).await });
         match timeout(STORED_WITHIN, stored).await {
             Ok(Ok(Ok(()))) => accepted(id, 201),
-            Ok(Ok(Err(CommitError::Conflict(_)))) => {
+            Ok(Ok(Err(CommitError::Conflict(_) | CommitError::Refused))) => {
                 let other = Reply::later("the job's state can't be read now");
                 self.unless_known(id, other).await
             }
@@ -73,6 +78,7 @@
         let s: &JobSpec = &rec.spec;
         debug!(job = %id, team = s.team, class = s.class, tasks = s.tasks, cpus = s.cpus, "accepted");
         self.model.lock().add_job(rec, Instant::now());
+        self.resolve_from_memory();
         self.wake.notify_one();
         Ok(())
     }
@@ -103,12 +109,13 @@
     pub(super) async fn unless_known(&self, id: JobId, otherwise: Reply) -> Reply {
         match self.node.lookup(id).await {
             Ok(Lookup::Absent) => otherwise,
-            Ok(Lookup::Active(r, version)) => {
-                let reply = view_reply(id, &Lookup::Active(r.clone(), version));
-                self.admit(*r, version);
+            Ok(found) => {
+                let reply = self.node.reply_about(id, &found).await;
+                if let Lookup::Active(record, version) = found {
+                    self.admit(*record, version);
+                }
                 reply
             }
-            Ok(l) => view_reply(id, &l),
             Err(_) => Reply::later("the job's state can't be read now"),
         }
     }
@@ -162,7 +169,7 @@
                     };
                 }
                 Some(j) if j.complete() && !j.cancelled => return Reply::later("the job is ending"),
-                Some(j) if j.cancelled && j.cancel_stored => None,
+                Some(j) if j.cancel_is_sure() => None,
                 Some(_) => {
                     m.cancel(id, Instant::now());
                     m.jobs.get(&id).map(|j| j.record())
@@ -200,7 +207,8 @@
             match self.writer.commit(unit).await {
                 Ok(()) => return true,
                 Err(CommitError::Deposed) => return false,
-                Err(CommitError::Conflict(_)) => match self.node.lookup(id).await {
+                // Told apart from a changed key only by reading it.
+                Err(CommitError::Conflict(_) | CommitError::Refused) => match self.node.lookup(id).await {
                     Ok(Lookup::Active(r, _)) if r.cancelled => return true,
                     Ok(Lookup::Active(_, version)) => self.writer.know(&key, version),
                     Ok(_) => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! One controller: what it knows of the others, and how a request of a user
 //! or a worker finds the one who may answer it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -13,16 +13,15 @@
 use crate::core::record::{self, FinalRecord, JobRecord};
 use crate::core::Config;
 use crate::http::Http;
+use crate::job_lookup::{Finals, Lookup};
 use crate::leader::active_leader::ActiveLeader;
 use crate::peer::{Ask, Link, Reply};
 use crate::settings::{Platform, Tuning};
 use crate::sockets::Sockets;
 use crate::stall::StallDetector;
-use crate::store::{Store, StoreError};
+use crate::store::Store;
 use crate::wire::{Change, Guard, JobId, JobSpec, JobView, MachineType, Redirect, Standing, Transaction};
 
-/// Final states kept at hand; the rest is read from the state service.
-const MOST_FINALS: usize = 50_000;
 /// A controller whose link was quiet so long isn't counted as connected.
 const PEER_QUIET: Duration = Duration::from_millis(2500);
 
@@ -42,48 +41,6 @@
     Leading(Arc<ActiveLeader>),
 }
 
-/// Final states of jobs: once known they hold for ever.
-#[derive(Debug, Default)]
-pub struct Finals {
-    map: HashMap<JobId, (Standing, u32)>,
-    order: VecDeque<JobId>,
-}
-
-impl Finals {
-    /// Keeps a final state.
-    pub fn keep(&mut self, id: JobId, state: Standing, done: u32) {
-        if self.map.insert(id, (state, done)).is_none() {
-            self.order.push_back(id);
-            if self.order.len() > MOST_FINALS {
-                if let Some(old) = self.order.pop_front() {
-                    self.map.remove(&old);
-                }
-            }
-        }
-    }
-
-    /// The final state, if at hand.
-    pub fn view(&self, id: JobId) -> Option<JobView> {
-        self.map.get(&id).map(|(state, done)| JobView {
-            id,
-            state: *state,
-            done: *done,
-            running: 0,
-        })
-    }
-}
-
-/// What the state service says of a job.
-#[derive(Debug)]
-pub enum Lookup {
-    /// Not finished.
-    Active(Box<JobRecord>, u64),
-    /// Finished.
-    Final(JobView),
-    /// Never accepted.
-    Absent,
-}
-
 /// A controller.
 #[derive(Debug)]
 pub struct Node {
@@ -145,15 +102,8 @@
     /// A controller that is not running yet.
     pub fn new(platform: Platform, tuning: Tuning) -> Arc<Self> {
         let limits = platform.params.state.clone();
-        // The limits of the state service hold for all controllers together.
-        // All but a few requests are the leader's.
         let http = Http::default();
-        let store = Store::new(
-            http.clone(),
-            platform.services.state.to_string(),
-            limits.rps * 0.6,
-            limits.write_rps * 0.7,
-        );
+        let store = Store::new(http.clone(), platform.services.state.to_string(), &limits);
         let cloud = Cloud::new(
             http,
             platform.services.cloud.to_string(),
@@ -386,7 +336,7 @@
                 r
             }
             _ => match self.lookup(id).await {
-                Ok(l) => view_reply(id, &l),
+                Ok(found) => self.reply_about(id, &found).await,
                 Err(_) => Reply::later("the job's state can't be read now"),
             },
         }
@@ -399,7 +349,12 @@
         }
         if let Ok(v) = serde_json::from_slice::<JobView>(&r.body) {
             if matches!(v.state, Standing::Done | Standing::Cancelled) {
-                self.finals.lock().keep(v.id, v.state, v.done);
+                let record = FinalRecord {
+                    state: v.state,
+                    done: v.done,
+                    ended_at: None,
+                };
+                self.finals.lock().keep(v.id, record);
             }
         }
     }
@@ -420,35 +375,20 @@
                 self.learn(&r);
                 r
             }
-            _ => match self.lookup(id).await {
-                Ok(l @ Lookup::Final(_)) => view_reply(id, &l),
-                Ok(Lookup::Absent) => Reply::error(404, "no such job"),
-                Ok(Lookup::Active(r, _)) if r.cancelled => view_reply(id, &Lookup::Active(r, 0)),
-                _ => Reply::later("no leader to cancel it now"),
-            },
+            _ => {
+                let Ok(found) = self.lookup(id).await else {
+                    return Reply::later("no leader to cancel it now");
+                };
+                match self.standing(&found).await {
+                    Ok(None | Some(Standing::Cancelled | Standing::Done)) => {
+                        self.reply_about(id, &found).await
+                    }
+                    _ => Reply::later("no leader to cancel it now"),
+                }
+            }
         }
     }
 
-    /// What the state service says of a job, read afresh. The unfinished ones
-    /// come first: a job moves from there to the finished ones, never back.
-    pub async fn lookup(&self, id: JobId) -> Result<Lookup, StoreError> {
-        if let Ok(item) = self.store.get_soon(&record::job_key(id)).await? {
-            let r = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
-            return Ok(Lookup::Active(Box::new(r), item.version));
-        }
-        if let Ok(item) = self.store.get_soon(&record::final_key(id)).await? {
-            let f: FinalRecord = serde_json::from_value(item.value).map_err(|_| StoreError::Unanswered)?;
-            self.finals.lock().keep(id, f.state, f.done);
-            return Ok(Lookup::Final(JobView {
-                id,
-                state: f.state,
-                done: f.done,
-                running: 0,
-            }));
-        }
-        Ok(Lookup::Absent)
-    }
-
     /// The machine types, read from the state service if need be.
     pub async fn known_types(&self) -> Arc<Vec<MachineType>> {
         let known = self.types.lock().clone();
@@ -483,12 +423,17 @@
         }
         admissible(&spec, &self.config.teams, types).map_err(|u| Reply::error(422, &u.to_string()))?;
         let mut spec = spec;
+        if spec.awaits.contains(&spec.id) {
+            return Err(Reply::error(422, &Unfit::AwaitsItself.to_string()));
+        }
         if let Some(list) = &mut spec.types {
             // Types that don't exist are of no use to anybody.
             list.retain(|t| types.iter().any(|k| k.name == *t));
             list.sort();
             list.dedup();
         }
+        spec.awaits.sort_unstable();
+        spec.awaits.dedup();
         Ok(spec)
     }
 
@@ -515,7 +460,7 @@
         // The id comes before the body: a repeat of an accepted job is 200.
         match self.lookup(id).await {
             Ok(Lookup::Absent) => {}
-            Ok(l) => return view_reply(id, &l),
+            Ok(found) => return self.reply_about(id, &found).await,
             Err(_) => return Reply::later("the job's state can't be read now"),
         }
         let types = self.known_types().await;
@@ -531,6 +476,9 @@
         if !self.record_fits(&rec) {
             return Reply::error(400, "the job's description is too long");
         }
+        if let Err(r) = self.check_awaits(&rec.spec, |_| None).await {
+            return r;
+        }
         let Ok(value) = serde_json::to_value(&rec) else {
             return Reply::error(400, "malformed");
         };
@@ -565,7 +513,7 @@
             }
             Err(_) => match self.lookup(id).await {
                 Ok(Lookup::Absent) | Err(_) => Reply::later("the job can't be stored now"),
-                Ok(l) => view_reply(id, &l),
+                Ok(found) => self.reply_about(id, &found).await,
             },
         }
     }
@@ -608,28 +556,3 @@
         },
     )
 }
-
-/// The answer about a job as the state service tells it.
-pub fn view_reply(id: JobId, l: &Lookup) -> Reply {
-    match l {
-        Lookup::Absent => Reply::error(404, "no such job"),
-        Lookup::Final(v) => Reply::json(200, v),
-        Lookup::Active(r, _) => {
-            // How far it is, only the leader knows.
-            let state = if r.cancelled {
-                Standing::Cancelled
-            } else {
-                Standing::Queued
-            };
-            Reply::json(
-                200,
-                &JobView {
-                    id,
-                    state,
-                    done: 0,
-                    running: 0,
-                },
-            )
-        }
-    }
-}
--- a/src/store.rs
+++ b/src/store.rs
@@ -13,6 +13,7 @@
 use tracing::{debug, info};
 
 use crate::http::{Http, HttpError, Response};
+use crate::settings::StateLimits;
 use crate::wire::{Change, Guard, Item, LeaseGrant, Listing, Outcome, Transaction, Watched};
 
 /// Why the state service did not do it.
@@ -30,6 +31,9 @@
     /// The lease is over.
     #[error("no such lease")]
     NoLease,
+    /// Larger than the limits allow, so it was not sent.
+    #[error("larger than the state service's limits allow")]
+    TooLarge,
     /// The watched revision is too old.
     #[error("revision too old")]
     TooOld,
@@ -41,61 +45,96 @@
 /// A budget of so many units a second, with bursts of a second's worth.
 #[derive(Debug)]
 pub struct Pace {
+    state: Mutex<PaceState>,
+}
+
+#[derive(Debug)]
+struct PaceState {
     rate: f64,
     burst: f64,
-    state: Mutex<(f64, Instant)>,
+    /// Units at hand; below 0: owed.
+    units: f64,
+    refilled: Instant,
+}
+
+impl PaceState {
+    fn refill(&mut self, now: Instant) {
+        let earned = now.saturating_duration_since(self.refilled).as_secs_f64() * self.rate;
+        self.units = (self.units + earned).min(self.burst);
+        self.refilled = now;
+    }
+
+    /// How long until so many units are at hand.
+    fn time_until(&self, units: f64) -> Duration {
+        Duration::from_secs_f64(((units - self.units) / self.rate).max(0.0))
+    }
 }
 
 impl Pace {
     /// A full budget.
     pub fn new(rate: f64, burst: f64) -> Self {
+        let burst = burst.max(1.0);
         Self {
-            rate,
-            burst: burst.max(1.0),
-            state: Mutex::new((burst.max(1.0), Instant::now())),
+            state: Mutex::new(PaceState {
+                rate,
+                burst,
+                units: burst,
+                refilled: Instant::now(),
+            }),
+        }
+    }
+
+    /// Units a second.
+    pub fn rate(&self) -> f64 {
+        self.state.lock().rate
+    }
+
+    /// Slows down to a rate, if it is lower, with bursts of a second's worth.
+    /// Whether it was.
+    pub fn slow_to(&self, rate: f64, now: Instant) -> bool {
+        let mut s = self.state.lock();
+        if rate >= s.rate {
+            return false;
         }
+        s.refill(now);
+        s.rate = rate;
+        s.burst = rate.max(1.0);
+        s.units = s.units.min(s.burst);
+        true
     }
 
     /// Takes units, and tells how long to wait before going on.
     pub fn take(&self, units: f64, now: Instant) -> Duration {
         let mut s = self.state.lock();
-        let refill = now.saturating_duration_since(s.1).as_secs_f64() * self.rate;
-        s.0 = (s.0 + refill).min(self.burst) - units;
-        s.1 = now;
-        if s.0 >= 0.0 {
-            Duration::ZERO
-        } else {
-            Duration::from_secs_f64(-s.0 / self.rate)
-        }
+        s.refill(now);
+        s.units -= units;
+        s.time_until(0.0)
     }
 
     /// Takes units if as many are there and a part of the burst is left for
     /// what is urgent; else how long to wait before trying again.
     pub fn take_leaving(&self, units: f64, reserve: f64, now: Instant) -> Duration {
         let mut s = self.state.lock();
-        let refill = now.saturating_duration_since(s.1).as_secs_f64() * self.rate;
-        *s = ((s.0 + refill).min(self.burst), now);
+        s.refill(now);
         // What is larger than the rest of the burst goes when the budget is full.
-        let need = (units + reserve * self.burst).min(self.burst);
-        if s.0 + 1e-9 >= need {
-            s.0 -= units;
+        let need = (units + reserve * s.burst).min(s.burst);
+        if s.units + 1e-9 >= need {
+            s.units -= units;
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(((need - s.0) / self.rate).max(0.001))
+        s.time_until(need).max(Duration::from_millis(1))
     }
 
     /// Takes units once they are due, if that is soon; else takes none.
     async fn pass_soon(&self, units: f64, soon: Duration) -> bool {
         let wait = {
             let mut s = self.state.lock();
-            let now = Instant::now();
-            let refill = now.saturating_duration_since(s.1).as_secs_f64() * self.rate;
-            *s = ((s.0 + refill).min(self.burst), now);
-            let wait = Duration::from_secs_f64(((units - s.0) / self.rate).max(0.0));
+            s.refill(Instant::now());
+            let wait = s.time_until(units);
             if wait > soon {
                 return false;
             }
-            s.0 -= units;
+            s.units -= units;
             wait
         };
         tokio::time::sleep(wait).await;
@@ -129,10 +168,17 @@
     addr: String,
     requests: Pace,
     writes: Pace,
+    limits: StateLimits,
     /// Since when it fails to answer.
     failing: Mutex<Option<Instant>>,
 }
 
+/// The limits of the state service hold for all controllers together. All but a
+/// few requests are the leader's, so each keeps to this share of the requests...
+const REQUEST_SHARE: f64 = 0.6;
+/// ...and to this share of the changes.
+const WRITE_SHARE: f64 = 0.7;
+
 /// The state service counts as out of reach after failing for so long.
 const UNREACHABLE: Duration = Duration::from_secs(4);
 
@@ -164,12 +210,14 @@
 
 impl Store {
     /// A client with its share of the limits.
-    pub fn new(http: Http, addr: String, rps: f64, write_rps: f64) -> Self {
+    pub fn new(http: Http, addr: String, limits: &StateLimits) -> Self {
+        let (rps, write_rps) = (limits.rps * REQUEST_SHARE, limits.write_rps * WRITE_SHARE);
         Self {
             http,
             addr,
             requests: Pace::new(rps, rps),
             writes: Pace::new(write_rps, write_rps),
+            limits: limits.clone(),
             failing: Mutex::new(None),
         }
     }
@@ -181,7 +229,7 @@
 
     /// How many changes the budget allows within a time.
     pub fn changes_within(&self, time: Duration) -> f64 {
-        (self.writes.rate * time.as_secs_f64()).max(1.0)
+        (self.writes.rate() * time.as_secs_f64()).max(1.0)
     }
 
     fn note(&self, answered: bool) {
@@ -202,9 +250,41 @@
     ) -> Result<Response, StoreError> {
         let r = self.http.call(method, &self.addr, path, body, timeout).await;
         self.note(r.as_ref().is_ok_and(|r| r.status != 503));
+        if r.as_ref().is_ok_and(|r| r.status == 429) {
+            self.slow_down();
+        }
         Ok(r?)
     }
 
+    /// The state service takes less than it was asked: the announced limits may
+    /// hold by now. They don't come with a notice, so this is how they show.
+    fn slow_down(&self) {
+        let now = Instant::now();
+        let requests = self.limits.least_rps() * REQUEST_SHARE;
+        let writes = self.limits.least_write_rps() * WRITE_SHARE;
+        let slower = [
+            self.requests.slow_to(requests, now),
+            self.writes.slow_to(writes, now),
+        ];
+        if slower.contains(&true) {
+            info!("the state service refuses for its rate; the announced limits are kept from now on");
+        }
+    }
+
+    /// Whether a transaction keeps within the limits that hold now and those that
+    /// are announced. Every writer passes here.
+    fn check_size(&self, t: &Transaction) -> Result<(), StoreError> {
+        let largest = self.limits.value_bytes();
+        let too_large = |change: &Change| match change {
+            Change::Put { value, .. } => serde_json::to_vec(value).map_or(true, |v| v.len() > largest),
+            Change::Delete { .. } => false,
+        };
+        if t.changes.len() > self.limits.least_txn_ops() || t.changes.iter().any(too_large) {
+            return Err(StoreError::TooLarge);
+        }
+        Ok(())
+    }
+
     /// Reads a key. `Err(revision)` inside: it does not exist at that revision.
     pub async fn get(&self, key: &str) -> Result<Result<Item, u64>, StoreError> {
         self.requests.pass(1.0).await;
@@ -268,6 +348,7 @@
         timeout: Duration,
         reserve: f64,
     ) -> Result<u64, StoreError> {
+        self.check_size(t)?;
         self.requests.pass(1.0).await;
         if !t.changes.is_empty() {
             self.writes.pass_leaving(t.changes.len() as f64, reserve).await;
@@ -346,6 +427,10 @@
     /// The term is over.
     #[error("no longer the leader")]
     Deposed,
+    /// The state service won't take it, for its size or otherwise. An earlier
+    /// copy of it that was not answered may have been taken all the same.
+    #[error("refused by the state service")]
+    Refused,
     /// Keys that are not as expected.
     #[error("keys changed by another: {0:?}")]
     Conflict(Vec<String>),
@@ -363,13 +448,14 @@
 }
 
 impl Unit {
-    /// Whether it names a key.
-    fn names(&self, busy: &HashSet<String>) -> bool {
-        self.changes
-            .iter()
-            .map(|c| &c.0)
-            .chain(&self.absent)
-            .any(|k| busy.contains(k))
+    /// The keys that it names.
+    fn keys(&self) -> impl Iterator<Item = &String> {
+        self.changes.iter().map(|change| &change.0).chain(&self.absent)
+    }
+
+    /// Whether it names one of the keys.
+    fn names(&self, keys: &HashSet<String>) -> bool {
+        self.keys().any(|key| keys.contains(key))
     }
 }
 
@@ -382,6 +468,8 @@
     busy: HashSet<String>,
     in_flight: usize,
     over: bool,
+    /// Most changes in a transaction.
+    most: usize,
 }
 
 /// Group commit of one term: units wait while earlier ones are on their way,
@@ -393,7 +481,6 @@
     store: Arc<Store>,
     term: u64,
     leader_key: &'static str,
-    most: usize,
     state: Mutex<WriterState>,
     wake: Notify,
 }
@@ -412,8 +499,10 @@
             store,
             term,
             leader_key,
-            most,
-            state: Mutex::new(WriterState::default()),
+            state: Mutex::new(WriterState {
+                most,
+                ..WriterState::default()
+            }),
             wake: Notify::new(),
         })
     }
@@ -507,16 +596,11 @@
                 .sum();
             // What isn't urgent must not make urgent units wait for the reserve.
             let fits = (batch.is_empty() || batch[0].0.urgent == unit.urgent)
-                && ops + unit.changes.len() <= self.most
-                && guards + unit.changes.len() + unit.absent.len() <= self.most * 4
+                && (batch.is_empty() || ops + unit.changes.len() <= s.most)
+                && guards + unit.changes.len() + unit.absent.len() <= s.most * 4
                 && (batch.is_empty() || bytes + size <= MOST_BYTES);
             if !fits || unit.names(&s.busy) || unit.names(&held) {
-                held.extend(
-                    unit.changes
-                        .iter()
-                        .map(|c| c.0.clone())
-                        .chain(unit.absent.iter().cloned()),
-                );
+                held.extend(unit.keys().cloned());
                 at += 1;
                 continue;
             }
@@ -524,25 +608,14 @@
             ops += unit.changes.len();
             guards += unit.changes.len() + unit.absent.len();
             bytes += size;
-            held.extend(
-                unit.changes
-                    .iter()
-                    .map(|c| c.0.clone())
-                    .chain(unit.absent.iter().cloned()),
-            );
+            held.extend(unit.keys().cloned());
             batch.push((unit, reply));
         }
         if batch.is_empty() {
             return None;
         }
         for (unit, _) in &batch {
-            let keys: Vec<String> = unit
-                .changes
-                .iter()
-                .map(|c| c.0.clone())
-                .chain(unit.absent.iter().cloned())
-                .collect();
-            s.busy.extend(keys);
+            s.busy.extend(unit.keys().cloned());
         }
         s.in_flight += 1;
         Some(batch)
@@ -594,15 +667,7 @@
     }
 
     async fn send(&self, mut batch: Vec<(Unit, Reply)>) {
-        let keys: Vec<String> = batch
-            .iter()
-            .flat_map(|(u, _)| {
-                u.changes
-                    .iter()
-                    .map(|c| c.0.clone())
-                    .chain(u.absent.iter().cloned())
-            })
-            .collect();
+        let mut keys: Vec<String> = batch.iter().flat_map(|(u, _)| u.keys().cloned()).collect();
         let mut uncertain = false;
         while !batch.is_empty() && !self.is_over() {
             let t = self.transaction(&batch);
@@ -631,10 +696,18 @@
                     tokio::time::sleep(Duration::from_millis(50)).await;
                 }
                 Err(StoreError::Unavailable) => tokio::time::sleep(Duration::from_millis(150)).await,
+                Err(e) if batch.len() > 1 => {
+                    // The limits may be lower than was announced. Nothing of it
+                    // was executed, so it goes again in smaller parts.
+                    info!(error = %e, units = batch.len(), "a write can't be taken whole, sent in parts");
+                    self.allow_at_most(t.changes.len() / 2);
+                    batch = self.requeue_half(batch);
+                    keys = batch.iter().flat_map(|(u, _)| u.keys().cloned()).collect();
+                }
                 Err(e) => {
                     info!(error = %e, "a write can't be taken");
                     for (_, reply) in batch.drain(..) {
-                        let _ = reply.send(Err(CommitError::Conflict(Vec::new())));
+                        let _ = reply.send(Err(CommitError::Refused));
                     }
                 }
             }
@@ -649,6 +722,26 @@
         s.in_flight -= 1;
     }
 
+    /// Lets later transactions have so many changes at the most, though never too
+    /// few for a final state, which is two.
+    fn allow_at_most(&self, changes: usize) {
+        let mut s = self.state.lock();
+        s.most = s.most.min(changes.max(2));
+    }
+
+    /// Puts the later half of a batch back to the head of the queue; the rest.
+    fn requeue_half(&self, mut batch: Vec<(Unit, Reply)>) -> Vec<(Unit, Reply)> {
+        let later = batch.split_off(batch.len() / 2);
+        let mut s = self.state.lock();
+        for (unit, reply) in later.into_iter().rev() {
+            for key in unit.keys() {
+                s.busy.remove(key);
+            }
+            s.queue.push_front((unit, reply));
+        }
+        batch
+    }
+
     fn applied(&self, batch: Vec<(Unit, Reply)>, revision: u64) {
         let mut s = self.state.lock();
         for (unit, reply) in batch {
@@ -733,14 +826,7 @@
             }
         }
         for (unit, reply) in batch {
-            let hit: Vec<String> = unit
-                .changes
-                .iter()
-                .map(|c| &c.0)
-                .chain(&unit.absent)
-                .filter(|k| failed.contains(k))
-                .cloned()
-                .collect();
+            let hit: Vec<String> = unit.keys().filter(|k| failed.contains(k)).cloned().collect();
             if hit.is_empty() {
                 rest.push((unit, reply));
             } else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -196,6 +196,17 @@
     /// When the job should be complete, from its submission.
     #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(
+        default,
+        deserialize_with = "null_as_empty",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub awaits: Vec<JobId>,
+}
+
+fn null_as_empty<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<JobId>, D::Error> {
+    Ok(Option::deserialize(d)?.unwrap_or_default())
 }
 
 /// Most tasks of a job.
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -57,6 +57,7 @@
                 checkpoint_s: 30.0,
                 save_s: 4.0,
                 deadline_s: due,
+                awaits: Vec::new(),
             },
         )
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -114,6 +114,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        awaits: Vec::new(),
     }
 }
 
