--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -1,7 +1,8 @@
 //! Election and evidence under lost, late, repeated and reordered messages:
 //! no task is in two places, no limit is passed, no state goes back, nothing
-//! of a cancelled job is started. Leaders come and go; what an earlier one has
-//! sent still arrives.
+//! of a cancelled job is started, nor of one whose dependencies aren't done, and
+//! what is told of a job agrees with what is stored of the jobs that it needs.
+//! Leaders come and go; what an earlier one has sent still arrives.
 
 mod support;
 #[path = "support/worker.rs"]
@@ -10,6 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use bitternfold::core::dependencies::DependencyOutcome;
 use bitternfold::core::record::{FinalRecord, JobRecord};
 use bitternfold::core::store_plan::Write;
 use bitternfold::core::Model;
@@ -49,6 +51,11 @@
         id: JobId,
         term: u64,
     },
+    /// The answer that it is.
+    CancelStored {
+        id: JobId,
+        term: u64,
+    },
     /// The response to a report, with its token and orders.
     Reply {
         to: MachineId,
@@ -66,7 +73,11 @@
         tasks: u32,
         cpus: u32,
         red: bool,
+        /// Which earlier jobs it waits for.
+        awaits: Vec<usize>,
     },
+    /// The leader reads how a job ended that others wait for.
+    Resolve(usize),
     Cancel(usize),
     Report(usize),
     Deliver(usize),
@@ -118,6 +129,8 @@
     mute: BTreeSet<MachineId>,
     next_job: u32,
     submitted: Vec<JobId>,
+    /// The jobs that each job waits for.
+    awaits: BTreeMap<JobId, Vec<JobId>>,
     told: BTreeMap<JobId, Standing>,
 }
 
@@ -141,6 +154,7 @@
             mute: BTreeSet::new(),
             next_job: 0,
             submitted: Vec::new(),
+            awaits: BTreeMap::new(),
             told: BTreeMap::new(),
         }
     }
@@ -174,6 +188,7 @@
                     );
                     let named = self.wal.values().any(|v| v.to_string().contains(&*to));
                     assert!(named, "{task} is started on {to}, which the log doesn't name");
+                    self.all_needed_are_done(*task);
                 }
             }
             self.mail.push(Message::Command { to, commands, term });
@@ -219,6 +234,7 @@
                 let report = Some(w.report());
                 for t in started {
                     self.no_double(t);
+                    self.all_needed_are_done(t);
                 }
                 self.mail.push(Message::Answer {
                     from: to,
@@ -271,6 +287,9 @@
                     panic!("{id} was finished while its cancellation was on its way");
                 };
                 r.cancelled = true;
+                self.mail.push(Message::CancelStored { id, term });
+            }
+            Message::CancelStored { id, term } if term == self.term => {
                 self.model.cancel_stored(id);
                 self.tell(id, Standing::Cancelled);
             }
@@ -311,6 +330,7 @@
             // sender makes of its answer, or of one given up, it makes once.
             Message::Reply { .. }
             | Message::Cancel { .. }
+            | Message::CancelStored { .. }
             | Message::Write { .. }
             | Message::Wrote { .. }
             | Message::Answer { .. } => {}
@@ -336,6 +356,48 @@
             .map_or_else(|| self.finals[&id].done, |j| j.spec.tasks)
     }
 
+    /// No task starts before all jobs that its job needs are stored as done.
+    fn all_needed_are_done(&self, task: TaskId) {
+        for needed in &self.awaits[&task.job] {
+            let state = self.finals.get(needed).map(|f| f.state);
+            assert_eq!(state, Some(Standing::Done), "{task} starts before {needed} is done");
+        }
+    }
+
+    /// Whether what is stored says that a job is cancelled, by itself or with a
+    /// job that it needs: the plain rule, walked anew each time.
+    fn is_cancelled(&self, id: JobId) -> bool {
+        match (self.finals.get(&id), self.jobs.get(&id)) {
+            (Some(f), _) => f.state == Standing::Cancelled,
+            (None, Some(r)) if r.cancelled => true,
+            _ => self.awaits[&id].iter().any(|needed| self.is_cancelled(*needed)),
+        }
+    }
+
+    /// What the leader tells from memory agrees with what is stored, also of the
+    /// jobs before the one asked for.
+    fn told_as_stored(&self) {
+        for id in self.model.jobs.keys() {
+            let Some(view) = self.model.view(*id) else { continue };
+            let told = view.state == Standing::Cancelled;
+            assert_eq!(told, self.is_cancelled(*id), "{id} is called {:?}", view.state);
+        }
+    }
+
+    /// The leader reads how a job ended that others wait for.
+    fn resolve(&mut self, which: usize) {
+        let unresolved = self.model.dependencies.unresolved();
+        let Some(id) = unresolved.iter().nth(which % unresolved.len().max(1)).copied() else {
+            return;
+        };
+        let Some(record) = self.finals.get(&id) else { return };
+        let outcome = match record.state {
+            Standing::Cancelled => DependencyOutcome::Cancelled,
+            _ => DependencyOutcome::Done(None),
+        };
+        self.model.resolve_dependency(id, outcome);
+    }
+
     /// The task that was just started is live on one machine only.
     fn no_double(&self, task: TaskId) {
         let live: Vec<_> = self
@@ -379,7 +441,9 @@
             let s = &r.spec;
             let here = all.iter().filter(|t| t.job == s.id).count() as u32;
             let done = self.model.jobs.get(&s.id).map_or(s.tasks, |j| j.done.count());
+            let is_done = |needed: &JobId| self.finals.get(needed).is_some_and(|f| f.state == Standing::Done);
             !r.cancelled
+                && s.awaits.iter().all(is_done)
                 && here + done < s.tasks
                 && s.cpus <= most_free
                 && (s.team != "red" || red_uses + s.cpus <= 40.0)
@@ -415,15 +479,24 @@
         self.step_machines(&op);
         self.step_leaders(&op);
         self.round();
+        self.told_as_stored();
     }
 
     /// Users submit and call off.
     fn step_users(&mut self, op: &Op) {
         let n = self.workers.len();
         match op.clone() {
-            Op::Submit { tasks, cpus, red } => {
+            Op::Submit {
+                tasks,
+                cpus,
+                red,
+                awaits,
+            } => {
                 self.next_job += 1;
                 let mut spec = job(self.next_job, tasks, f64::from(cpus));
+                let named = awaits.iter().filter(|_| !self.submitted.is_empty());
+                spec.awaits = named.map(|i| self.submitted[i % self.submitted.len()]).collect();
+                self.awaits.insert(spec.id, spec.awaits.clone());
                 if red {
                     spec.team = "red".into();
                 }
@@ -432,6 +505,7 @@
                 self.jobs.insert(rec.spec.id, rec.clone());
                 self.model.add_job(rec, self.now);
             }
+            Op::Resolve(i) => self.resolve(i),
             Op::Cancel(i) if !self.submitted.is_empty() => {
                 let id = self.submitted[i % self.submitted.len()];
                 let open = self
@@ -639,10 +713,22 @@
     }
 }
 
+/// Half of all jobs wait for none, the others for up to three.
+fn any_submission() -> impl Strategy<Value = Op> {
+    let awaits = prop_oneof![Just(Vec::new()), proptest::collection::vec(any::<usize>(), 1..4)];
+    (1..5u32, 1..9u32, any::<bool>(), awaits).prop_map(|(tasks, cpus, red, awaits)| Op::Submit {
+        tasks,
+        cpus,
+        red,
+        awaits,
+    })
+}
+
 fn any_op() -> impl Strategy<Value = Op> {
     prop_oneof![
-        2 => (1..5u32, 1..9u32, any::<bool>()).prop_map(|(tasks, cpus, red)| Op::Submit { tasks, cpus, red }),
+        2 => any_submission(),
         1 => any::<usize>().prop_map(Op::Cancel),
+        2 => any::<usize>().prop_map(Op::Resolve),
         6 => any::<usize>().prop_map(Op::Report),
         20 => any::<usize>().prop_map(Op::Deliver),
         2 => any::<usize>().prop_map(Op::Repeat),
@@ -693,6 +779,7 @@
             0 => Op::Report(i / 8),
             1 => Op::Run(i / 8, ends),
             7 => Op::Wait(400),
+            6 => Op::Resolve(0),
             _ => Op::Deliver(0),
         };
         // What the fleet does with silent machines.
@@ -767,7 +854,12 @@
 fn a_job_that_failed_everywhere_is_back_at_full_width_in_time() {
     // A generated sequence after which tasks waited for 90.4 s beside room:
     // pauses of 32 s, then one task at a time, while machines stayed cordoned.
-    let submit = |tasks, cpus, red| Op::Submit { tasks, cpus, red };
+    let submit = |tasks, cpus, red| Op::Submit {
+        tasks,
+        cpus,
+        red,
+        awaits: Vec::new(),
+    };
     let deliver = Op::Deliver;
     let ops = vec![
         submit(4, 8, false),
