--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -166,6 +166,7 @@
                 (!still.is_empty()).then(|| Entry::Start(id.clone(), *job, *attempt, still))
             }
             Entry::Done(job, _) => jobs.contains_key(job).then(|| e.clone()),
+            Entry::Unknown(_) => Some(e.clone()),
         };
         let a = self.log.take(most, live_bytes, live)?;
         self.log_taken = Some(now);
--- a/src/core/wal.rs
+++ b/src/core/wal.rs
@@ -29,9 +29,25 @@
     /// Tasks that are done.
     #[serde(rename = "d")]
     Done(JobId, Vec<u32>),
+    /// An entry of a later version. It means nothing here, and is kept.
+    #[serde(untagged)]
+    Unknown(Value),
 }
 
+/// Names of the entries that this version knows.
+const KNOWN_ENTRIES: [&str; 4] = ["m", "g", "s", "d"];
+
 impl Entry {
+    /// An entry that this version ought to know, and can't read: what it names is
+    /// in doubt.
+    fn is_damaged(&self) -> bool {
+        let Entry::Unknown(value) = self else { return false };
+        let known = |name: &str| KNOWN_ENTRIES.contains(&name);
+        value
+            .as_object()
+            .is_none_or(|fields| fields.keys().any(|name| known(name)))
+    }
+
     /// Bytes that it takes in a segment.
     fn bytes(&self) -> usize {
         serde_json::to_string(self).map_or(0, |s| s.len() + 1)
@@ -109,6 +125,7 @@
                 on.extend(tasks.iter().map(|i| (TaskId { job: *job, index: *i }, *attempt)));
             }
             Entry::Done(job, tasks) => self.done.entry(*job).or_default().extend(tasks),
+            Entry::Unknown(_) => {}
         }
     }
 }
@@ -161,6 +178,9 @@
         let Ok(entries) = serde_json::from_value::<Vec<Entry>>(value) else {
             return false;
         };
+        if entries.iter().any(Entry::is_damaged) {
+            return false;
+        }
         let bytes = entries.iter().map(Entry::bytes).sum();
         self.segments.insert(number, Segment { entries, bytes });
         // Numbers are never used again.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -9,8 +9,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use parking_lot::Mutex;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::tcp::OwnedReadHalf;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
@@ -89,29 +88,43 @@
     }
 }
 
-#[derive(Debug, BorshSerialize, BorshDeserialize)]
-enum Frame {
+/// What goes over a link. Its bytes are those of all earlier versions: a variant
+/// that one of them can't read would end its connection, so what is new goes into
+/// the JSON bodies inside.
+#[derive(Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Frame {
+    /// The first on a link.
     Hello {
+        /// Who asks.
         host: String,
     },
+    /// A question.
     Ask {
+        /// Its number on this link.
         id: u64,
+        /// The question.
         ask: Ask,
     },
+    /// The answer to a question.
     Answer {
+        /// The question's number.
         id: u64,
+        /// The highest term known to the one who answers.
         term: u64,
+        /// The answer.
         reply: Reply,
     },
     /// I am here; the highest term that I know of, and the latest leader.
     Pong {
+        /// The term.
         term: u64,
+        /// The leader's term and name.
         leader: Option<(u64, String)>,
     },
 }
 
 /// Appends a frame to what is to be sent.
-fn encode(frame: &Frame, out: &mut Vec<u8>) -> io::Result<()> {
+pub fn encode(frame: &Frame, out: &mut Vec<u8>) -> io::Result<()> {
     let at = out.len();
     out.extend([0; 4]);
     frame.serialize(out)?;
@@ -130,14 +143,21 @@
     }
 }
 
-async fn read_frame(r: &mut BufReader<OwnedReadHalf>) -> io::Result<Frame> {
-    let len = r.read_u32().await? as usize;
-    if len > MOST_FRAME {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+/// Reads the next frame. Those that a later version may send, and that mean
+/// nothing here, are passed over: the length before each tells where the next is.
+pub async fn read_frame(r: &mut (impl AsyncRead + Unpin)) -> io::Result<Frame> {
+    loop {
+        let len = r.read_u32().await? as usize;
+        if len > MOST_FRAME {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "frame too long"));
+        }
+        let mut buf = vec![0; len];
+        r.read_exact(&mut buf).await?;
+        match borsh::from_slice(&buf) {
+            Ok(frame) => return Ok(frame),
+            Err(e) => debug!(error = %e, "a frame that can't be read is passed over"),
+        }
     }
-    let mut buf = vec![0; len];
-    r.read_exact(&mut buf).await?;
-    borsh::from_slice(&buf)
 }
 
 type Question = (Ask, oneshot::Sender<Reply>);
--- /dev/null
+++ b/tests/compatibility.rs
@@ -0,0 +1,244 @@
+//! What the version in production stores and sends is read, and what this one
+//! writes in its place is the same, so that both run side by side and on each
+//! other's data. The fixtures were written by that version's own code.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use bitternfold::core::record::{self, FinalRecord, JobRecord, LeaderRecord};
+use bitternfold::core::wal::{Entry, Log, Replay};
+use bitternfold::peer::{encode, read_frame, Frame};
+use bitternfold::wire::{JobId, MachineType, Standing};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::{json, Value};
+use support::*;
+
+const JOB_RECORDS: &str = include_str!("fixtures/production/job_records.jsonl");
+const FINAL_RECORDS: &str = include_str!("fixtures/production/final_records.jsonl");
+const LEADER_RECORD: &str = include_str!("fixtures/production/leader_record.json");
+const RATIOS: &str = include_str!("fixtures/production/ratios.json");
+const TYPES: &str = include_str!("fixtures/production/machine_types.json");
+const SEGMENT: &str = include_str!("fixtures/production/log_segment.json");
+const LARGE_SEGMENTS: &str = include_str!("fixtures/production/log_segments_of_8_kib.jsonl");
+const KEYS: &str = include_str!("fixtures/production/keys.txt");
+const FRAMES: &str = include_str!("fixtures/production/frames.hex");
+
+/// Reads a value, and checks that it is written again to the letter.
+fn read_and_written_alike<T: DeserializeOwned + Serialize>(text: &str) -> T {
+    let value: T = serde_json::from_str(text).expect("readable");
+    let written = serde_json::to_string(&value).expect("writable");
+    assert_eq!(written, text.trim_end());
+    value
+}
+
+#[test]
+fn records_are_read_and_written_as_in_production() {
+    let jobs: Vec<JobRecord> = JOB_RECORDS.lines().map(read_and_written_alike).collect();
+    assert_eq!(
+        jobs.iter().map(|r| r.cancelled).collect::<Vec<_>>(),
+        [false, true]
+    );
+    assert!(jobs.iter().all(|r| r.spec.awaits.is_empty()));
+    let finals: Vec<FinalRecord> = FINAL_RECORDS.lines().map(read_and_written_alike).collect();
+    let states: Vec<Standing> = finals.iter().map(|r| r.state).collect();
+    assert_eq!(states, [Standing::Done, Standing::Cancelled]);
+    read_and_written_alike::<LeaderRecord>(LEADER_RECORD);
+    read_and_written_alike::<BTreeMap<String, f64>>(RATIOS);
+    read_and_written_alike::<Vec<MachineType>>(TYPES);
+}
+
+#[test]
+fn new_fields_of_records_are_optional() {
+    // The production version ignores fields that it doesn't know, so what is new
+    // must be an extra field and nothing else.
+    let without = |mut value: Value, path: &str, name: &str| {
+        let object = value.pointer_mut(path).and_then(Value::as_object_mut);
+        object.expect("an object").remove(name).expect("the new field");
+        value
+    };
+    let old: JobRecord = serde_json::from_str(JOB_RECORDS.lines().next().expect("a line")).expect("readable");
+    let mut new = old.clone();
+    new.spec.awaits = vec!["job-000398".parse().expect("an id")];
+    let written = serde_json::to_value(&new).expect("json");
+    assert_eq!(written["spec"]["awaits"], json!(["job-000398"]));
+    assert_eq!(
+        without(written, "/spec", "awaits"),
+        serde_json::to_value(&old).expect("json")
+    );
+    let ended = FinalRecord {
+        state: Standing::Done,
+        done: 7,
+        ended_at: Some(1_764_600_000_123),
+    };
+    let written = serde_json::to_value(&ended).expect("json");
+    let old: Value = serde_json::from_str(FINAL_RECORDS.lines().next().expect("a line")).expect("json");
+    assert_eq!(without(written, "", "ended_at"), old);
+}
+
+#[test]
+fn keys_are_those_of_production() {
+    let job: JobId = "job-000412".parse().expect("an id");
+    let keys = [
+        record::LEADER.to_owned(),
+        record::job_key(job),
+        record::final_key(job),
+        record::inbox_key(job),
+        record::segment_key(3),
+        record::RATIOS.to_owned(),
+        record::TYPES.to_owned(),
+    ];
+    assert_eq!(KEYS.lines().collect::<Vec<_>>(), keys);
+}
+
+#[test]
+fn segments_of_the_log_are_read_and_written_as_in_production() {
+    read_and_written_alike::<Vec<Entry>>(SEGMENT);
+    let mut log = Log::new(4096);
+    assert!(log.load(1, serde_json::from_str(SEGMENT).expect("json")));
+    let replay = log.replay();
+    let job: JobId = "job-000412".parse().expect("an id");
+    assert_eq!(replay.machines.len(), 1);
+    assert_eq!(replay.starts["i-000231"].len(), 3);
+    assert_eq!(replay.done[&job].len(), 2);
+    assert!(replay.gone.contains("i-000007"));
+}
+
+/// Everything of a replay that counts, whatever stands twice in the log.
+fn loaded_large_segments(value_bytes: usize) -> (Log, BTreeMap<u64, Value>) {
+    let mut log = Log::new(value_bytes);
+    let mut stored = BTreeMap::new();
+    for (number, line) in (1..).zip(LARGE_SEGMENTS.lines()) {
+        let value: Value = serde_json::from_str(line).expect("json");
+        stored.insert(number, value.clone());
+        assert!(log.load(number, value));
+    }
+    (log, stored)
+}
+
+fn replay_of(stored: &BTreeMap<u64, Value>) -> Replay {
+    let mut log = Log::new(4096);
+    for (number, value) in stored {
+        assert!(log.load(*number, value.clone()));
+    }
+    log.replay()
+}
+
+#[test]
+fn segments_larger_than_the_new_limits_are_rewritten_smaller() {
+    // A compaction that moved a whole segment at once would pass the limits on
+    // values and transactions as soon as these are lowered.
+    const VALUE: usize = 2048;
+    for most in [2, 4, 5] {
+        let (mut log, mut stored) = loaded_large_segments(VALUE);
+        let before = replay_of(&stored);
+        let largest = stored.values().map(|v| v.to_string().len()).max();
+        assert!(
+            largest > Some(7 * 1024),
+            "the fixture is as large as production writes it"
+        );
+        let mut appends = 0;
+        // Some churn makes the log long enough for compactions.
+        while stored.contains_key(&1) || stored.contains_key(&2) {
+            appends += 1;
+            assert!(appends < 500, "segments are never rewritten with {most} changes");
+            for _ in 0..40 {
+                log.push(Entry::Gone(format!("i-9{appends:05}").as_str().into()));
+            }
+            let live = |e: &Entry| (!matches!(e, Entry::Gone(_))).then(|| e.clone());
+            let append = log.take(most, 0, live).expect("something is pending");
+            assert!(append.segments.len() <= most, "{} changes", append.segments.len());
+            for (number, value) in &append.segments {
+                match value {
+                    Some(value) => {
+                        assert!(value.to_string().len() <= VALUE, "a value is too large");
+                        stored.insert(*number, value.clone());
+                    }
+                    None => drop(stored.remove(number)),
+                }
+            }
+            log.appended(&append);
+            let now = replay_of(&stored);
+            assert_eq!(
+                (now.starts, now.done),
+                (before.starts.clone(), before.done.clone())
+            );
+        }
+    }
+}
+
+#[test]
+fn an_unknown_entry_of_the_log_is_kept_and_a_damaged_one_is_refused() {
+    let mut entries: Vec<Value> = serde_json::from_str(SEGMENT).expect("json");
+    entries.insert(1, json!({ "later": ["i-000231", 7] }));
+    let mut log = Log::new(4096);
+    assert!(
+        log.load(1, json!(entries)),
+        "a later version's entry ends nothing"
+    );
+    assert_eq!(
+        log.replay().starts["i-000231"].len(),
+        3,
+        "what stands beside it is read"
+    );
+    // Rewritten in a compaction, it is still there.
+    for number in 2..8 {
+        assert!(log.load(number, json!([])));
+    }
+    log.push(Entry::Gone("i-000008".into()));
+    let append = log.take(4, 0, |e| Some(e.clone())).expect("something is pending");
+    assert!(append.segments.contains(&(1, None)), "the oldest is compacted");
+    let written = format!("{:?}", append.segments);
+    assert!(written.contains("later"), "the entry is lost: {written}");
+    // What such an entry names would be in doubt.
+    assert!(!Log::new(4096).load(1, json!([{ "s": ["i-000231"] }])));
+    assert!(!Log::new(4096).load(1, json!(["s"])));
+}
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let pairs = hex.as_bytes().chunks(2);
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).expect("text"), 16);
+    pairs.map(|pair| byte(pair).expect("hex")).collect()
+}
+
+fn next_frame(stream: &mut &[u8]) -> Frame {
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let frame = runtime.expect("a runtime").block_on(read_frame(stream));
+    frame.expect("a frame")
+}
+
+#[test]
+fn frames_are_read_and_written_as_in_production() {
+    let mut count = 0;
+    for line in FRAMES.lines() {
+        let sent = bytes(line);
+        let frame = next_frame(&mut sent.as_slice());
+        let mut written = Vec::new();
+        encode(&frame, &mut written).expect("writable");
+        assert_eq!(written, sent, "{frame:?}");
+        count += 1;
+    }
+    assert_eq!(count, 9, "every kind of frame and question");
+}
+
+#[test]
+fn an_unknown_frame_is_passed_over() {
+    let mut stream = vec![0, 0, 0, 3, 200, 1, 2];
+    let known: Vec<u8> = FRAMES.lines().take(1).flat_map(bytes).collect();
+    stream.extend(known);
+    let frame = next_frame(&mut stream.as_slice());
+    assert_eq!(
+        frame,
+        Frame::Hello {
+            host: "heron-1".into()
+        }
+    );
+}
+
+#[test]
+fn settings_without_announced_limits_work_as_ever() {
+    let limits = platform().params.state;
+    assert_eq!((limits.value_bytes(), limits.least_txn_ops()), (4096, 12));
+    assert_eq!((limits.least_rps(), limits.least_write_rps()), (200.0, 100.0));
+}
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -87,6 +87,7 @@
                 (!left.is_empty()).then(|| Entry::Start(id.clone(), *job, *attempt, left))
             }
             Entry::Done(job, _) => self.open.contains(job).then(|| e.clone()),
+            Entry::Unknown(_) => Some(e.clone()),
         })
     }
 }
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -360,7 +360,11 @@
     fn all_needed_are_done(&self, task: TaskId) {
         for needed in &self.awaits[&task.job] {
             let state = self.finals.get(needed).map(|f| f.state);
-            assert_eq!(state, Some(Standing::Done), "{task} starts before {needed} is done");
+            assert_eq!(
+                state,
+                Some(Standing::Done),
+                "{task} starts before {needed} is done"
+            );
         }
     }
 
@@ -378,7 +382,9 @@
     /// jobs before the one asked for.
     fn told_as_stored(&self) {
         for id in self.model.jobs.keys() {
-            let Some(view) = self.model.view(*id) else { continue };
+            let Some(view) = self.model.view(*id) else {
+                continue;
+            };
             let told = view.state == Standing::Cancelled;
             assert_eq!(told, self.is_cancelled(*id), "{id} is called {:?}", view.state);
         }
@@ -390,7 +396,9 @@
         let Some(id) = unresolved.iter().nth(which % unresolved.len().max(1)).copied() else {
             return;
         };
-        let Some(record) = self.finals.get(&id) else { return };
+        let Some(record) = self.finals.get(&id) else {
+            return;
+        };
         let outcome = match record.state {
             Standing::Cancelled => DependencyOutcome::Cancelled,
             _ => DependencyOutcome::Done(None),
