--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -168,9 +168,7 @@
     /// others, are cancelled by that; they never become ready.
     pub fn cancelled(&mut self, id: JobId) -> Vec<JobId> {
         self.cancelling.remove(&id);
-        self.unresolved.remove(&id);
-        self.inherited.remove(&id);
-        let mut all = Vec::new();
+        let mut all = vec![id];
         let mut seen: HashSet<JobId> = HashSet::from([id]);
         let mut next = vec![id];
         while let Some(ended) = next.pop() {
@@ -182,7 +180,7 @@
             }
         }
         self.detach(&all, &seen);
-        all
+        all.split_off(1)
     }
 
     /// Takes cancelled jobs out of the lists of other jobs that they named, which
