--- a/tests/dependencies.rs
+++ b/tests/dependencies.rs
@@ -446,6 +446,24 @@
     assert_eq!(standing(&m, 5), Some(Standing::Cancelled));
 }
 
+#[test]
+fn a_job_that_its_own_user_cancels_meanwhile_has_its_own_record() {
+    // Else its final state could be stored before its cancellation, which would
+    // then put the unfinished record back.
+    let now = start();
+    let (mut m, _) = with_machine(now);
+    m.add_job(chained(1, &[]), now);
+    m.add_job(chained(2, &[1]), now);
+    m.cancel(id(2), now);
+    m.cancel(id(1), now);
+    m.cancel_stored(id(1));
+    let finals = store_all(&mut m, now);
+    assert_eq!(finals, [(id(1), Standing::Cancelled)]);
+    assert_eq!(standing(&m, 2), None, "its record is on its way");
+    m.cancel_stored(id(2));
+    assert_eq!(store_all(&mut m, now), [(id(2), Standing::Cancelled)]);
+}
+
 #[test]
 fn jobs_after_one_whose_cancellation_is_answered_with_done_go_on() {
     let now = start();
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,110 @@
+//! The limits of the state service: kept from the start where they are announced,
+//! and nothing lost or repeated where they fall without notice.
+
+#[path = "support/site.rs"]
+mod site;
+#[path = "support/standins.rs"]
+mod standins;
+mod support;
+
+use std::time::{Duration, Instant};
+
+use bitternfold::store::Pace;
+use serde_json::json;
+use site::{on_loopback, Site};
+use tokio::time::sleep;
+
+pub use support::types;
+
+const NEXT: &str = "\n[cluster.state.next]\nwrite_rps = 60.0\nvalue_kb = 2.0\ntxn_ops = 4\n\n[cluster.cloud]";
+
+/// Submits arrays to all controllers, changes leaders meanwhile, and waits until
+/// all is done.
+async fn serve_through_changes(site: &mut Site, jobs: u32, lower_at: u32, lower: impl Fn(&Site)) {
+    for n in 1..=jobs {
+        if n == lower_at {
+            lower(site);
+        }
+        let mut body = site.job(n, 60);
+        if n > 1 {
+            body["awaits"] = json!([format!("job-{:06}", n - 1)]);
+        }
+        let (status, v) = site.insist("POST", n as usize % 3, "/v2/runs", Some(body)).await;
+        assert!([200, 201].contains(&status), "{v}");
+        if n == jobs / 2 {
+            site.state.end_leases();
+        }
+    }
+    for n in 1..=jobs {
+        let v = site.until(n as usize % 3, &format!("job-{n:06}"), "done").await;
+        assert_eq!(v["done"], 60);
+    }
+    assert!(site.cloud.doubles.lock().is_empty());
+}
+
+#[test]
+fn announced_limits_are_kept_from_the_start() {
+    on_loopback(async {
+        let settings = |text: String| text.replace("\n[cluster.cloud]", NEXT);
+        let mut site = Site::with(Duration::from_millis(100), settings).await;
+        serve_through_changes(&mut site, 8, 3, |site| site.state.limit_sizes(2048, 4)).await;
+        assert_eq!(site.state.too_large(), 0, "nothing larger was sent");
+        let (bytes, changes) = site.state.largest_written();
+        assert!(bytes <= 2048 && changes <= 4, "{bytes} bytes, {changes} changes");
+        assert!(changes > 2, "transactions are still filled");
+    });
+}
+
+#[test]
+fn limits_that_fall_without_notice_lose_and_repeat_no_acceptance() {
+    // Nothing tells of them but the refusals: transactions go again in parts.
+    on_loopback(async {
+        let site = Site::start(Duration::from_millis(100)).await;
+        site.until_some_leader().await;
+        site.state.limit_sizes(4096, 3);
+        let mut waiting = tokio::task::JoinSet::new();
+        for n in 1..=40u32 {
+            let (api, body) = (site.api[n as usize % 3], site.job(n, 1));
+            waiting.spawn(async move {
+                loop {
+                    let (status, _) = standins::ask("POST", api, "/v2/runs", Some(body.clone())).await;
+                    if [200, 201].contains(&status) {
+                        return;
+                    }
+                    assert!([0, 503].contains(&status), "{status}");
+                    sleep(Duration::from_millis(200)).await;
+                }
+            });
+        }
+        while waiting.join_next().await.is_some() {}
+        assert!(site.state.too_large() > 0, "no transaction was too large");
+        for n in 1..=40u32 {
+            site.until(0, &format!("job-{n:06}"), "done").await;
+            let accepted = site.state.puts_of(&format!("jobs/job-{n:06}"));
+            assert_eq!(accepted, 1, "job {n} is accepted once");
+        }
+        assert!(site.cloud.doubles.lock().is_empty());
+    });
+}
+
+#[test]
+fn a_refusal_for_the_rate_slows_down_to_the_announced_one() {
+    let now = Instant::now();
+    let pace = Pace::new(40.0, 40.0);
+    assert!(!pace.slow_to(40.0, now), "no slower than it is");
+    assert!(pace.slow_to(10.0, now));
+    assert_eq!(pace.rate(), 10.0);
+    // The burst is a second's worth of the new rate, too.
+    assert_eq!(pace.take(10.0, now), Duration::ZERO);
+    assert_eq!(pace.take(5.0, now), Duration::from_millis(500));
+    assert!(!pace.slow_to(40.0, now), "it never speeds up again");
+}
+
+#[test]
+fn work_goes_on_after_refusals_for_the_rate() {
+    on_loopback(async {
+        let settings = |text: String| text.replace("\n[cluster.cloud]", NEXT);
+        let mut site = Site::with(Duration::from_millis(100), settings).await;
+        serve_through_changes(&mut site, 4, 2, |site| site.state.refuse_for_rate(20)).await;
+    });
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -105,6 +105,15 @@
         self.state.leader()?.strip_prefix("heron-")?.parse().ok()
     }
 
+    /// Waits until somebody leads.
+    pub async fn until_some_leader(&self) {
+        let began = Instant::now();
+        while self.leader().is_none() {
+            assert!(began.elapsed() < LONG, "nobody is elected");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits until as many tasks run as `enough` says.
     pub async fn until_running(&self, enough: impl Fn(usize) -> bool) {
         let began = Instant::now();
@@ -114,6 +123,11 @@
         }
     }
 
+    /// Whether a controller was booted and not killed since.
+    pub fn is_up(&self, i: usize) -> bool {
+        self.stops[i].is_some()
+    }
+
     /// Ends a controller without a word.
     pub fn kill(&mut self, i: usize) {
         self.stops[i] = None;
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -45,6 +45,12 @@
     /// then failed by their conditions, or applied after all.
     came: u64,
     late_outcomes: (u32, u32),
+    /// Limits on a value's bytes and a transaction's changes, if it has any, and
+    /// how many transactions were refused for them.
+    size_limits: Option<(usize, usize)>,
+    too_large: u32,
+    /// Refuses so many of the next transactions for their rate.
+    refuse_for_rate: u32,
     /// Controllers that alone are refused.
     refused: std::collections::BTreeSet<usize>,
 }
@@ -118,6 +124,41 @@
         d.holds.values_mut().for_each(|h| h.1 = now + h.0);
     }
 
+    /// From now on larger values and transactions get 400.
+    pub fn limit_sizes(&self, value_bytes: usize, txn_ops: usize) {
+        self.0.lock().size_limits = Some((value_bytes, txn_ops));
+    }
+
+    /// Transactions that were refused for their size.
+    pub fn too_large(&self) -> u32 {
+        self.0.lock().too_large
+    }
+
+    /// Refuses so many of the next transactions for their rate.
+    pub fn refuse_for_rate(&self, transactions: u32) {
+        self.0.lock().refuse_for_rate = transactions;
+    }
+
+    /// The largest value, and the most changes of a transaction, carried out so far.
+    pub fn largest_written(&self) -> (usize, usize) {
+        let d = self.0.lock();
+        let puts = d.carried_out.iter().flat_map(|t| &t.changes);
+        let bytes = puts.map(|c| match c {
+            Change::Put { value, .. } => value.to_string().len(),
+            Change::Delete { .. } => 0,
+        });
+        let ops = d.carried_out.iter().map(|t| t.changes.len());
+        (bytes.max().unwrap_or(0), ops.max().unwrap_or(0))
+    }
+
+    /// How often a key was put.
+    pub fn puts_of(&self, key: &str) -> usize {
+        let d = self.0.lock();
+        let puts = d.carried_out.iter().flat_map(|t| &t.changes);
+        puts.filter(|c| matches!(c, Change::Put { put, .. } if put == key))
+            .count()
+    }
+
     /// Refuses one controller alone, or serves it again.
     pub fn refuse(&self, who: usize, refused: bool) {
         let mut d = self.0.lock();
@@ -229,6 +270,20 @@
 
     fn multi(&self, t: &Transaction) -> Json {
         self.with(|d| {
+            if d.refuse_for_rate > 0 {
+                d.refuse_for_rate -= 1;
+                return (429, json!({"error": "too many changes"}));
+            }
+            if let Some((bytes, ops)) = d.size_limits {
+                let large = |c: &Change| match c {
+                    Change::Put { value, .. } => value.to_string().len() > bytes,
+                    Change::Delete { .. } => false,
+                };
+                if t.changes.len() > ops || t.changes.iter().any(large) {
+                    d.too_large += 1;
+                    return (400, json!({"error": "too large"}));
+                }
+            }
             let failed: Vec<_> = t
                 .conditions
                 .iter()
@@ -401,6 +456,8 @@
 pub struct Cloud {
     pub controllers: Vec<(String, SocketAddr)>,
     pub run: Duration,
+    /// Jobs whose tasks run for hours.
+    slow: Mutex<std::collections::BTreeSet<JobId>>,
     machines: Mutex<Vec<Arc<Mutex<Machine>>>>,
     requests: Mutex<HashMap<String, Vec<String>>>,
     /// Starts of each task, and whether any ran twice at a time.
@@ -423,6 +480,7 @@
         Arc::new(Self {
             controllers,
             run,
+            slow: Mutex::default(),
             machines: Mutex::default(),
             requests: Mutex::default(),
             doubles: Mutex::default(),
@@ -509,6 +567,11 @@
         self.reported.lock().clone()
     }
 
+    /// Lets tasks of a job that start from now on run for hours.
+    pub fn run_slowly(&self, job: &str) {
+        self.slow.lock().insert(job.parse().expect("an id"));
+    }
+
     /// How many tasks run.
     pub fn running(&self) -> usize {
         let all = self.machines.lock();
@@ -591,7 +654,9 @@
                     return;
                 }
                 *self.starts.lock() += 1;
-                let until = Instant::now() + self.run;
+                let slow = self.slow.lock().contains(&task.job);
+                let run = if slow { Duration::from_secs(7200) } else { self.run };
+                let until = Instant::now() + run;
                 m.tasks.insert(
                     task,
                     Task {
