--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,6 +27,7 @@
 mod room;
 pub mod slot;
 pub mod store_plan;
+pub mod tombstones;
 pub mod wal;
 pub mod worker_commands;
 pub mod worker_reports;
--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -18,7 +18,8 @@
 use super::machine::{Machine, Phase, TOKEN_BITS};
 use super::record::JobRecord;
 use super::slot::{Slot, SlotState};
-use super::wal::{Entry as Logged, Log, Replay, Tombstones};
+use super::tombstones::Tombstones;
+use super::wal::{Entry as Logged, Log, Replay};
 use crate::wire::{CloudState, JobId, JobView, ListedMachine, MachineId, MachineType, Standing, TaskId};
 
 /// Ratios of the Last Model are kept above this, so that a team's job of no
--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -10,7 +10,7 @@
 use super::model::{Model, LEAST_RATIO};
 use super::record::{self, FinalRecord};
 use super::wal::{Append, Entry};
-use crate::store::Unit;
+use crate::store::writer::Unit;
 use crate::wire::{JobId, Kind, Standing};
 
 /// Entries of the log that no start waits for are written at most so often.
--- a/src/leader/active_leader.rs
+++ b/src/leader/active_leader.rs
@@ -23,7 +23,8 @@
 use crate::core::record::{self};
 use crate::core::Model;
 use crate::node::{Node, Role};
-use crate::store::{StoreError, Writer};
+use crate::store::writer::Writer;
+use crate::store::StoreError;
 
 /// Share of the state service's requests that may go into confirming answers.
 const CONFIRMING: f64 = 0.1;
--- a/src/leader/active_leader/fleet_loop.rs
+++ b/src/leader/active_leader/fleet_loop.rs
@@ -10,7 +10,7 @@
 use crate::cloud::CloudError;
 use crate::core::fleet::FleetAction;
 use crate::core::record;
-use crate::store::Unit;
+use crate::store::writer::Unit;
 
 use super::ActiveLeader;
 
--- a/src/leader/active_leader/job_intake.rs
+++ b/src/leader/active_leader/job_intake.rs
@@ -10,7 +10,8 @@
 use crate::core::record::{self, JobRecord};
 use crate::job_lookup::Lookup;
 use crate::node::wall_ms;
-use crate::store::{StoreError, Unit};
+use crate::store::writer::Unit;
+use crate::store::StoreError;
 use crate::wire::JobId;
 
 use super::ActiveLeader;
--- a/src/leader/active_leader/scheduling_loop.rs
+++ b/src/leader/active_leader/scheduling_loop.rs
@@ -7,7 +7,7 @@
 use tracing::{debug, info};
 
 use crate::core::store_plan::Write;
-use crate::store::CommitError;
+use crate::store::writer::CommitError;
 use crate::worker::{self, Commanded};
 
 use super::ActiveLeader;
--- a/src/leader/active_leader/user_requests.rs
+++ b/src/leader/active_leader/user_requests.rs
@@ -11,7 +11,7 @@
 use crate::job_lookup::Lookup;
 use crate::node::{accepted, wall_ms};
 use crate::peer::Reply;
-use crate::store::{CommitError, Unit};
+use crate::store::writer::{CommitError, Unit};
 use crate::wire::{JobId, JobSpec};
 
 use super::ActiveLeader;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -9,7 +9,7 @@
 
 use std::time::{Duration, Instant};
 
-use bitternfold::store::Pace;
+use bitternfold::store::pace::Pace;
 use serde_json::json;
 use site::{on_loopback, Site};
 use tokio::time::sleep;
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use bitternfold::core::wal::{Append, Entry, Log};
-use bitternfold::store::{Pace, RESERVE};
+use bitternfold::store::pace::Pace;
+use bitternfold::store::writer::RESERVE;
 use bitternfold::wire::{JobId, MachineId, TaskId};
 use proptest::prelude::*;
 use serde_json::Value;
