--- /dev/null
+++ b/src/wire/users.rs
@@ -0,0 +1,190 @@
+//! Bodies of the protocol with users: jobs, and what is told of them.
+
+use serde::{Deserialize, Deserializer, Serialize};
+
+use super::ids::JobId;
+
+/// Kind of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Independent tasks, each runs to completion.
+    #[serde(rename = "batch")]
+    Array,
+    /// Tasks that run only together: placed whole.
+    #[serde(rename = "group")]
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    #[serde(rename = "daemon")]
+    Service,
+}
+
+/// Priority; the greater comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Priority {
+    /// Runs in what is left over.
+    #[serde(rename = "best_effort")]
+    Low,
+    /// The ordinary one.
+    #[serde(rename = "standard")]
+    Normal,
+    /// Before the ordinary one.
+    #[serde(rename = "high")]
+    High,
+    /// Before all others.
+    #[serde(rename = "critical")]
+    Production,
+}
+
+/// A submission.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The job's id.
+    #[serde(rename = "name_id")]
+    pub id: JobId,
+    /// Class of jobs it belongs to.
+    #[serde(rename = "lot_class")]
+    pub class: String,
+    /// Team whose guarantee and limit apply.
+    #[serde(rename = "desk")]
+    pub team: String,
+    /// Array or service.
+    #[serde(rename = "sort")]
+    pub kind: Kind,
+    /// Its priority.
+    #[serde(rename = "urgency")]
+    pub priority: Priority,
+    /// Number of tasks.
+    #[serde(rename = "lots")]
+    pub tasks: u32,
+    /// CPUs of each task.
+    pub cpus: f64,
+    /// Accelerators of each task.
+    #[serde(rename = "accelerators")]
+    pub gpus: f64,
+    /// Memory of each task.
+    pub memory_gb: f64,
+    /// Image that a machine must have.
+    #[serde(rename = "kit")]
+    pub image: String,
+    /// Its size.
+    #[serde(rename = "size_gb")]
+    pub image_gb: f64,
+    /// Allowed machine types, or any.
+    #[serde(rename = "rigs", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone.
+    #[serde(rename = "yard", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    /// All tasks in the same zone.
+    pub one_zone: bool,
+    /// At most half of the tasks in one zone.
+    pub spread: bool,
+    /// May use spot machines.
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    /// Owner's estimate of a task's run time.
+    #[serde(rename = "expected_s")]
+    pub estimate_s: f64,
+    /// Interval of checkpoints, 0 for none.
+    #[serde(rename = "tally_s")]
+    pub checkpoint_s: f64,
+    /// Time to save when stopped.
+    #[serde(rename = "stow_s")]
+    pub save_s: f64,
+    /// When the job should be complete, from its submission.
+    #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(
+        default,
+        deserialize_with = "null_as_empty",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub awaits: Vec<JobId>,
+}
+
+fn null_as_empty<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<JobId>, D::Error> {
+    Ok(Option::deserialize(d)?.unwrap_or_default())
+}
+
+/// Most tasks of a job.
+pub const MOST_TASKS: u32 = 100_000;
+
+impl JobSpec {
+    /// Time to save that a task is given when it is stopped: none if it never saves.
+    pub fn grace(&self) -> std::time::Duration {
+        let s = if self.checkpoint_s > 0.0 { self.save_s } else { 0.0 };
+        std::time::Duration::from_secs_f64(s)
+    }
+
+    /// Checks the values; the error names the field.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let amounts = [
+            ("accelerators", self.gpus),
+            ("memory_gb", self.memory_gb),
+            ("size_gb", self.image_gb),
+            ("expected_s", self.estimate_s),
+            ("tally_s", self.checkpoint_s),
+            ("stow_s", self.save_s),
+            ("due_s", self.deadline_s.unwrap_or(0.0)),
+        ];
+        for (name, v) in amounts {
+            if !v.is_finite() || !(0.0..=1e9).contains(&v) {
+                return Err(name);
+            }
+        }
+        if !(self.cpus.is_finite() && self.cpus > 0.0 && self.cpus <= 1e9) {
+            return Err("cpus");
+        }
+        if self.tasks == 0 || self.tasks > MOST_TASKS {
+            return Err("lots");
+        }
+        for (name, s) in [
+            ("lot_class", &self.class),
+            ("desk", &self.team),
+            ("kit", &self.image),
+        ] {
+            if s.is_empty() || s.len() > 256 {
+                return Err(name);
+            }
+        }
+        if self.zone.as_ref().is_some_and(|z| z.is_empty() || z.len() > 256) {
+            return Err("yard");
+        }
+        if let Some(types) = &self.types {
+            if types.is_empty() || types.iter().any(|t| t.is_empty() || t.len() > 256) {
+                return Err("rigs");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// State of a job as told to its user.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// No task runs.
+    Queued,
+    /// A task runs.
+    Running,
+    /// All tasks are done.
+    Done,
+    /// Cancelled by its user.
+    Cancelled,
+}
+
+/// Answer to a user about a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    /// The job.
+    #[serde(rename = "name_id")]
+    pub id: JobId,
+    /// Its state.
+    #[serde(rename = "standing")]
+    pub state: Standing,
+    /// Tasks done, for display.
+    pub done: u32,
+    /// Tasks running, for display.
+    pub running: u32,
+}
