--- a/src/core/model.rs
+++ b/src/core/model.rs
@@ -108,7 +108,6 @@
             }
         }
         self.add_dependencies(&job);
-        let spec = job.spec.clone();
         self.jobs.insert(id, job);
         let cancelled = |named: &&JobId| self.jobs.get(named).is_some_and(Job::cancel_is_sure);
         let cancelled: Vec<JobId> = spec
