Tests: controllers have loopback addresses of their own

A port that fell free while a controller was down was taken by another test's stand-in, which answered in its place (405 for a question about a job; seen once, while other tests ran).

--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -1,7 +1,8 @@
 //! A whole site on loopback, for tests through the real endpoints.
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,9 +17,20 @@
 /// A bound is far above what anything here takes; reaching it is a failure.
 pub const LONG: Duration = Duration::from_secs(60);
 
-fn free_port() -> SocketAddr {
-    let l = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    l.local_addr().expect("an address")
+/// An address of loopback that no other server of any test uses. On a common one, a
+/// port that falls free while a controller is down may be taken by a stand-in,
+/// which then answers in its place.
+fn free_address() -> SocketAddr {
+    static TAKEN: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    let own = Ipv4Addr::new(
+        127,
+        100 + (process % 100) as u8,
+        (process / 100 % 250) as u8,
+        TAKEN.fetch_add(1, Ordering::Relaxed),
+    );
+    let listener = std::net::TcpListener::bind((own, 0)).expect("a port");
+    listener.local_addr().expect("an address")
 }
 
 /// Three controllers, a state service and a cloud.
@@ -37,8 +49,8 @@
 
     /// A site whose settings are changed by `edit`.
     pub async fn with(run: Duration, edit: impl Fn(String) -> String) -> Self {
-        let api: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
-        let back: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+        let api: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+        let back: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
         let state = Arc::new(State::default());
         let mut state_addrs = Vec::new();
         for i in 0..3 {
