--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -107,10 +107,17 @@
         self.at.saturating_add(age.as_millis() as u64)
     }
 
-    /// What survives.
+    /// What survives. A cancelled job never starts again, so the lists that only
+    /// its starts need are left out: an acceptance that was stored when values
+    /// could be larger has to be cancelled within the limits that hold by now.
     pub fn record(&self) -> JobRecord {
+        let mut spec = (*self.spec).clone();
+        if self.cancelled {
+            spec.types = None;
+            spec.awaits.clear();
+        }
         JobRecord {
-            spec: (*self.spec).clone(),
+            spec,
             at: self.at,
             cancelled: self.cancelled,
         }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -93,6 +93,31 @@
     });
 }
 
+#[test]
+fn a_record_that_is_too_large_by_now_is_cancelled_all_the_same() {
+    // Accepted while values could be larger; to write it again as it is would be
+    // refused for ever, and its user never told.
+    on_loopback(async {
+        let settings = |text: String| text.replace("\n[cluster.cloud]", NEXT);
+        let site = Site::with(Duration::from_millis(100), settings).await;
+        let mut body = site.job(1, 1);
+        body["rigs"] = json!(["large"]);
+        body["cpus"] = json!(30.0);
+        let mut spec: bitternfold::wire::JobSpec = serde_json::from_value(body).expect("a job");
+        spec.types = Some((0..200).map(|n| format!("machine-type-{n}")).collect());
+        let record = json!({"spec": spec, "at": bitternfold::node::wall_ms()});
+        assert!(record.to_string().len() > 2048);
+        site.state.plant("jobs/job-000001", record);
+        site.state.limit_sizes(2048, 4);
+        let (status, v) = site.insist("POST", 0, "/v2/runs/job-000001/cancel", None).await;
+        assert_eq!((status, &v["standing"]), (200, &json!("cancelled")));
+        assert_eq!(site.state.too_large(), 0);
+        for at in 0..3 {
+            site.until(at, "job-000001", "cancelled").await;
+        }
+    });
+}
+
 #[test]
 fn a_refusal_for_the_rate_slows_down_to_the_announced_one() {
     let now = Instant::now();
