--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -45,12 +45,35 @@
     assert!(site.cloud.doubles.lock().is_empty());
 }
 
+/// Submits jobs of one task all at once, each until it is accepted.
+async fn submit_at_once(site: &Site, jobs: std::ops::RangeInclusive<u32>) {
+    let mut waiting = tokio::task::JoinSet::new();
+    for n in jobs {
+        let (api, body) = (site.api[n as usize % 3], site.job(n, 1));
+        waiting.spawn(async move {
+            loop {
+                let (status, _) = standins::ask("POST", api, "/v2/runs", Some(body.clone())).await;
+                if [200, 201].contains(&status) {
+                    return;
+                }
+                assert!([0, 503].contains(&status), "{status}");
+                sleep(Duration::from_millis(200)).await;
+            }
+        });
+    }
+    while let Some(accepted) = waiting.join_next().await {
+        accepted.expect("accepted");
+    }
+}
+
 #[test]
 fn announced_limits_are_kept_from_the_start() {
     on_loopback(async {
         let settings = |text: String| text.replace("\n[cluster.cloud]", NEXT);
         let mut site = Site::with(Duration::from_millis(100), settings).await;
         serve_through_changes(&mut site, 8, 3, |site| site.state.limit_sizes(2048, 4)).await;
+        submit_at_once(&site, 101..=160).await;
+        site.until(0, "job-000160", "done").await;
         assert_eq!(site.state.too_large(), 0, "nothing larger was sent");
         let (bytes, changes) = site.state.largest_written();
         assert!(bytes <= 2048 && changes <= 4, "{bytes} bytes, {changes} changes");
@@ -68,21 +91,7 @@
         let site = Site::start(Duration::from_millis(100)).await;
         site.until_some_leader().await;
         site.state.limit_sizes(4096, 3);
-        let mut waiting = tokio::task::JoinSet::new();
-        for n in 1..=40u32 {
-            let (api, body) = (site.api[n as usize % 3], site.job(n, 1));
-            waiting.spawn(async move {
-                loop {
-                    let (status, _) = standins::ask("POST", api, "/v2/runs", Some(body.clone())).await;
-                    if [200, 201].contains(&status) {
-                        return;
-                    }
-                    assert!([0, 503].contains(&status), "{status}");
-                    sleep(Duration::from_millis(200)).await;
-                }
-            });
-        }
-        while waiting.join_next().await.is_some() {}
+        submit_at_once(&site, 1..=40).await;
         assert!(site.state.too_large() > 0, "no transaction was too large");
         for n in 1..=40u32 {
             site.until(0, &format!("job-{n:06}"), "done").await;
