Done of a job that others wait for is stored without the reserve; an append that is refused whole goes segment by segment

Cause: ends of jobs wait behind the share of changes that is kept free for users, so each step of a pipeline is late by that under the lowered limits. An append of the log that was refused for its size, where limits fell that nobody announced, ended the term, and the next leader's could be as large.

--- a/src/core/dependencies.rs
+++ b/src/core/dependencies.rs
@@ -137,6 +137,11 @@
         self.nodes.get(&id)?.done_since
     }
 
+    /// Whether some unfinished job waits for this one.
+    pub fn is_needed(&self, id: JobId) -> bool {
+        self.dependents.contains_key(&id)
+    }
+
     /// What a job inherits from the jobs that need it.
     pub fn inherited(&self, id: JobId) -> Option<Urgency> {
         self.inherited.get(&id).copied()
--- a/src/core/store_plan.rs
+++ b/src/core/store_plan.rs
@@ -29,6 +29,8 @@
         id: JobId,
         /// What is written.
         record: FinalRecord,
+        /// Other jobs wait for it.
+        needed: bool,
     },
     /// The teams' ratios.
     Ratios(BTreeMap<String, f64>),
@@ -44,7 +46,7 @@
                 .iter()
                 .map(|(n, v)| (record::segment_key(*n), v.clone()))
                 .collect(),
-            Write::Final { id, record } => vec![
+            Write::Final { id, record, .. } => vec![
                 (record::job_key(*id), None),
                 (record::final_key(*id), put(serde_json::to_value(record))),
             ],
@@ -53,7 +55,7 @@
         Unit {
             changes,
             absent: Vec::new(),
-            urgent: false,
+            urgent: matches!(self, Write::Final { needed: true, .. }),
         }
     }
 }
@@ -97,6 +99,7 @@
                     done: job.done.count(),
                     ended_at: Some(job.wall_clock(now)),
                 },
+                needed: state == Standing::Done && self.dependencies.is_needed(*id),
             });
         }
         for (team, r) in learned {
@@ -177,7 +180,7 @@
     pub fn written(&mut self, w: &Write, ok: bool, now: Instant) {
         match w {
             Write::Log(a) if ok => self.log.appended(a),
-            Write::Final { id, record } => {
+            Write::Final { id, record, .. } => {
                 if ok {
                     let outcome = match record.state {
                         Standing::Cancelled => DependencyOutcome::Cancelled,
--- a/src/leader/active_leader/scheduling_loop.rs
+++ b/src/leader/active_leader/scheduling_loop.rs
@@ -6,8 +6,10 @@
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info};
 
+use crate::core::record;
 use crate::core::store_plan::Write;
-use crate::store::writer::CommitError;
+use crate::core::wal::Append;
+use crate::store::writer::{CommitError, Unit};
 use crate::worker::{self, Commanded};
 
 use super::ActiveLeader;
@@ -74,9 +76,26 @@
         }
     }
 
+    /// Stores an append that is refused whole, one segment after the other: the
+    /// state service may take fewer changes at once than was announced. What is
+    /// deleted comes last, so that the log never names less than is there.
+    async fn commit_in_order(&self, append: &Append) -> Result<(), CommitError> {
+        for (number, value) in &append.segments {
+            let segment = Unit {
+                changes: vec![(record::segment_key(*number), value.clone())],
+                absent: Vec::new(),
+                urgent: false,
+            };
+            self.writer.commit(segment).await?;
+        }
+        Ok(())
+    }
+
     pub(super) async fn write(&self, w: Write) {
-        let unit = w.unit();
-        let result = self.writer.commit(unit).await;
+        let mut result = self.writer.commit(w.unit()).await;
+        if let (Err(CommitError::Refused), Write::Log(append)) = (&result, &w) {
+            result = self.commit_in_order(append).await;
+        }
         if let Err(CommitError::Conflict(keys)) = &result {
             info!(?keys, "a write met a changed key");
         }
@@ -86,7 +105,7 @@
             return self.end();
         }
         let ok = result.is_ok();
-        if let (true, Write::Final { id, record }) = (ok, &w) {
+        if let (true, Write::Final { id, record, .. }) = (ok, &w) {
             // Before the job leaves the model, so that no answer falls between.
             self.node.finals.lock().keep(*id, record.clone());
             debug!(job = %id, state = ?record.state, "finished");
--- a/tests/dependencies.rs
+++ b/tests/dependencies.rs
@@ -292,7 +292,7 @@
     let mut finals = Vec::new();
     for write in m.take_writes(now) {
         m.written(&write, true, now);
-        if let Write::Final { id, record } = write {
+        if let Write::Final { id, record, .. } = write {
             finals.push((id, record.state));
         }
     }
@@ -327,6 +327,23 @@
     assert_eq!(m.ready_since(&m.jobs[&id(2)]), ended);
 }
 
+#[test]
+fn the_end_of_a_job_that_others_wait_for_is_stored_before_other_ends() {
+    let now = start();
+    let (mut m, machine) = with_machine(now);
+    for (n, awaits) in [(1, vec![]), (2, vec![1]), (3, vec![])] {
+        m.add_job(chained(n, &awaits), now);
+    }
+    m.plan(now);
+    end_tasks(&mut m, &machine, 2, now);
+    let writes = m.take_writes(now);
+    let finals = writes.iter().filter_map(|w| match w {
+        Write::Final { id, .. } => Some((*id, w.unit().urgent)),
+        _ => None,
+    });
+    assert_eq!(finals.collect::<Vec<_>>(), [(id(1), true), (id(3), false)]);
+}
+
 #[test]
 fn no_start_is_sent_for_a_job_that_waits_whatever_led_to_its_placement() {
     // The last guard before a worker hears of it.
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -9,7 +9,11 @@
 
 use std::time::{Duration, Instant};
 
+use bitternfold::http::Http;
+use bitternfold::settings::Platform;
 use bitternfold::store::pace::Pace;
+use bitternfold::store::Store;
+use bitternfold::wire::Transaction;
 use serde_json::json;
 use site::{on_loopback, Site};
 use tokio::time::sleep;
@@ -90,8 +94,12 @@
     on_loopback(async {
         let site = Site::start(Duration::from_millis(100)).await;
         site.until_some_leader().await;
-        site.state.limit_sizes(4096, 3);
+        site.state.limit_sizes(4096, 2);
         submit_at_once(&site, 1..=40).await;
+        // An array whose placements fill several segments of the log at once.
+        let (status, v) = site.insist("POST", 0, "/v2/runs", Some(site.job(41, 1500))).await;
+        assert!([200, 201].contains(&status), "{v}");
+        assert_eq!(site.until(0, "job-000041", "done").await["done"], 1500);
         assert!(site.state.too_large() > 0, "no transaction was too large");
         for n in 1..=40u32 {
             site.until(0, &format!("job-{n:06}"), "done").await;
@@ -140,6 +148,28 @@
     assert!(!pace.slow_to(40.0, now), "it never speeds up again");
 }
 
+#[test]
+fn one_refusal_for_the_rate_is_enough() {
+    on_loopback(async {
+        let state = std::sync::Arc::new(standins::State::default());
+        let address = state.start(0).await.to_string();
+        let settings = support::SETTINGS.replace("\n[cluster.cloud]", NEXT);
+        let limits = Platform::parse(&settings, "test").expect("settings").params.state;
+        let store = Store::new(Http::default(), address, &limits);
+        let second = Duration::from_secs(1);
+        let before = store.changes_within(second);
+        let nothing = Transaction {
+            conditions: Vec::new(),
+            changes: Vec::new(),
+        };
+        assert!(store.transact(&nothing, second * 10).await.is_ok());
+        assert_eq!(store.changes_within(second), before, "not without a refusal");
+        state.refuse_for_rate(1);
+        assert!(store.transact(&nothing, second * 10).await.is_err());
+        assert_eq!(store.changes_within(second), before * 60.0 / 100.0);
+    });
+}
+
 #[test]
 fn work_goes_on_after_refusals_for_the_rate() {
     on_loopback(async {
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -209,7 +209,7 @@
                     }
                 }
             }
-            Write::Final { id, record } => {
+            Write::Final { id, record, .. } => {
                 self.jobs.remove(id);
                 if let Some(old) = self.finals.insert(*id, record.clone()) {
                     assert_eq!(old.state, record.state, "a final state changed");
@@ -302,7 +302,7 @@
                 self.mail.push(Message::Wrote { write, ok, term });
             }
             Message::Wrote { write, ok, term } if term == self.term => {
-                if let (true, Write::Final { id, record }) = (ok, &write) {
+                if let (true, Write::Final { id, record, .. }) = (ok, &write) {
                     self.tell(*id, record.state);
                 }
                 self.model.written(&write, ok, self.now);
