--- /dev/null
+++ b/tests/support/cloud.rs
@@ -0,0 +1,363 @@
+//! A cloud and its workers, with the troubles that tests ask for.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bitternfold::http::Http;
+use bitternfold::wire::*;
+use parking_lot::Mutex;
+use serde_json::{json, Value};
+use tokio::time::sleep;
+use warp::Filter;
+
+use super::{answer, serve, Json};
+
+struct Task {
+    attempt: u64,
+    state: TaskState,
+    why: Option<Why>,
+    until: Instant,
+}
+
+/// A machine with its worker.
+pub struct Machine {
+    id: MachineId,
+    addr: String,
+    zone: String,
+    spot: bool,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<TaskId, Task>,
+    gone: bool,
+}
+
+/// A cloud whose machines are up at once and run every task for `run`.
+pub struct Cloud {
+    pub controllers: Vec<(String, SocketAddr)>,
+    pub run: Duration,
+    /// Jobs whose tasks run for hours.
+    slow: Mutex<std::collections::BTreeSet<JobId>>,
+    machines: Mutex<Vec<Arc<Mutex<Machine>>>>,
+    requests: Mutex<HashMap<String, Vec<String>>>,
+    /// Starts of each task, and whether any ran twice at a time.
+    pub doubles: Mutex<Vec<TaskId>>,
+    pub starts: Mutex<u32>,
+    /// Commands that were carried out, reports that were answered, releases.
+    carried_out: Mutex<Vec<(MachineId, Commands)>>,
+    reported: Mutex<Vec<Vec<u8>>>,
+    /// Commands get no answer and change nothing.
+    pub no_commands: AtomicBool,
+    /// Workers report nothing.
+    pub mute: AtomicBool,
+    /// Commands on their way at once, at the most.
+    pub most_at_once: Mutex<(u32, u32)>,
+}
+
+impl Cloud {
+    /// A cloud for controllers at these addresses.
+    pub fn new(controllers: Vec<(String, SocketAddr)>, run: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            controllers,
+            run,
+            slow: Mutex::default(),
+            machines: Mutex::default(),
+            requests: Mutex::default(),
+            doubles: Mutex::default(),
+            starts: Mutex::default(),
+            carried_out: Mutex::default(),
+            reported: Mutex::default(),
+            no_commands: AtomicBool::new(false),
+            mute: AtomicBool::new(false),
+            most_at_once: Mutex::default(),
+        })
+    }
+
+    /// Starts it on a port that was bound before.
+    pub async fn start(self: &Arc<Self>) -> SocketAddr {
+        let c = self.clone();
+        let with = warp::any().map(move || c.clone());
+        let types = warp::get()
+            .and(warp::path!("machine_types"))
+            .map(|| answer((200, json!({"rigs": crate::types()}))));
+        let list = warp::get()
+            .and(warp::path!("hosts"))
+            .and(with.clone())
+            .map(|c: Arc<Cloud>| {
+                let all: Vec<Value> = c
+                    .machines
+                    .lock()
+                    .iter()
+                    .map(|m| m.lock())
+                    .filter(|m| !m.gone)
+                    .map(|m| {
+                        json!({"name_id": m.id, "endpoint": m.addr, "rig": "small", "yard": m.zone,
+                           "loaners": m.spot, "standing": "running", "age_s": 1.0})
+                    })
+                    .collect();
+                answer((200, json!({"racks": all, "has_next": false})))
+            });
+        let rent = warp::post()
+            .and(warp::path!("hosts"))
+            .and(warp::body::json())
+            .and(with.clone())
+            .then(|r: Rental, c: Arc<Cloud>| async move { answer(c.rent(r).await) });
+        let release = warp::post()
+            .and(warp::path!("hosts" / "release"))
+            .and(warp::body::json())
+            .and(with)
+            .map(|r: Machines, c: Arc<Cloud>| {
+                for m in c.machines.lock().iter() {
+                    let mut m = m.lock();
+                    m.gone |= r.machines.contains(&m.id);
+                }
+                answer((200, json!({})))
+            });
+        serve(types.or(list).or(rent).or(release)).await
+    }
+
+    async fn rent(self: &Arc<Self>, r: Rental) -> Json {
+        if let Some(got) = self.requests.lock().get(&r.request) {
+            return (200, json!({"racks": got}));
+        }
+        let mut names = Vec::new();
+        for _ in 0..r.count {
+            names.push(self.boot(&r.zone, r.spot).await);
+        }
+        self.requests.lock().insert(r.request, names.clone());
+        (200, json!({"racks": names}))
+    }
+
+    /// Late copies of all commands that were carried out arrive.
+    pub fn repeat_commands(&self) {
+        let machines = self.machines.lock().clone();
+        for (id, c) in self.carried_out.lock().clone() {
+            if let Some(m) = machines.iter().find(|m| m.lock().id == id) {
+                let mut m = m.lock();
+                if !m.gone && c.token >= m.token {
+                    m.token = c.token;
+                    c.commands.iter().for_each(|c| self.execute(&mut m, *c));
+                }
+            }
+        }
+    }
+
+    /// Reports that were answered, oldest first.
+    pub fn reported(&self) -> Vec<Vec<u8>> {
+        self.reported.lock().clone()
+    }
+
+    /// Lets tasks of a job that start from now on run for hours.
+    pub fn run_slowly(&self, job: &str) {
+        self.slow.lock().insert(job.parse().expect("an id"));
+    }
+
+    /// How many tasks run.
+    pub fn running(&self) -> usize {
+        let all = self.machines.lock();
+        let there = all.iter().map(|m| m.lock()).filter(|m| !m.gone);
+        there
+            .map(|m| m.tasks.values().filter(|t| t.state == TaskState::Running).count())
+            .sum()
+    }
+
+    /// The machines that are there.
+    pub fn names(&self) -> Vec<String> {
+        let all = self.machines.lock();
+        let there = all.iter().map(|m| m.lock()).filter(|m| !m.gone);
+        there.map(|m| m.id.to_string()).collect()
+    }
+
+    /// Boots a machine; its name.
+    pub async fn boot(self: &Arc<Self>, zone: &str, spot: bool) -> String {
+        let n = self.machines.lock().len();
+        let id = format!("i-{n:06}");
+        let machine = Arc::new(Mutex::new(Machine {
+            id: id.as_str().into(),
+            addr: String::new(),
+            zone: zone.to_owned(),
+            spot,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            gone: false,
+        }));
+        let (c, m) = (self.clone(), machine.clone());
+        let with = warp::any().map(move || (c.clone(), m.clone()));
+        let commands = warp::post()
+            .and(warp::path!("commands"))
+            .and(warp::body::json())
+            .and(with)
+            .then(
+                |b: Commands, (c, m): (Arc<Cloud>, Arc<Mutex<Machine>>)| async move {
+                    {
+                        let mut n = c.most_at_once.lock();
+                        n.0 += 1;
+                        n.1 = n.1.max(n.0);
+                    }
+                    sleep(Duration::from_millis(5)).await;
+                    let r = c.command(&m, &b);
+                    c.most_at_once.lock().0 -= 1;
+                    answer(r)
+                },
+            );
+        let addr = serve(commands).await;
+        machine.lock().addr = addr.to_string();
+        self.machines.lock().push(machine.clone());
+        tokio::spawn(self.clone().report(machine));
+        id
+    }
+
+    fn command(&self, m: &Mutex<Machine>, b: &Commands) -> Json {
+        let mut m = m.lock();
+        if m.gone || self.no_commands.load(Ordering::Relaxed) {
+            return (500, json!({}));
+        }
+        let ok = b.token >= m.token && b.session == 1;
+        if ok {
+            m.token = b.token;
+            self.carried_out.lock().push((m.id.clone(), b.clone()));
+            for c in &b.commands {
+                self.execute(&mut m, *c);
+            }
+        }
+        (
+            if ok { 200 } else { 409 },
+            serde_json::to_value(report_of(&mut m)).expect("json"),
+        )
+    }
+
+    fn execute(&self, m: &mut Machine, c: Command) {
+        match c {
+            Command::Start { task, attempt } => {
+                if m.tasks.contains_key(&task) {
+                    return;
+                }
+                *self.starts.lock() += 1;
+                let slow = self.slow.lock().contains(&task.job);
+                let run = if slow { Duration::from_secs(7200) } else { self.run };
+                let until = Instant::now() + run;
+                m.tasks.insert(
+                    task,
+                    Task {
+                        attempt,
+                        state: TaskState::Running,
+                        why: None,
+                        until,
+                    },
+                );
+                let here = m.id.clone();
+                let twice = self.machines.lock().iter().any(|o| {
+                    // Its own lock is held; the others are asked in turn.
+                    o.try_lock().is_some_and(|o| {
+                        o.id != here
+                            && !o.gone
+                            && o.tasks.get(&task).is_some_and(|t| t.state == TaskState::Running)
+                    })
+                });
+                if twice {
+                    self.doubles.lock().push(task);
+                }
+            }
+            Command::Stop { task, attempt, .. } => {
+                if let Some(t) = m.tasks.get_mut(&task) {
+                    if t.attempt == attempt && t.state != TaskState::Exited {
+                        (t.state, t.why) = (TaskState::Exited, Some(Why::Stopped));
+                    }
+                }
+            }
+            Command::Forget { task, attempt } => {
+                if m.tasks.get(&task).is_some_and(|t| t.attempt == attempt) {
+                    m.tasks.remove(&task);
+                }
+            }
+        }
+    }
+
+    async fn report(self: Arc<Self>, m: Arc<Mutex<Machine>>) {
+        let http = Http::default();
+        let mut at = 0;
+        loop {
+            sleep(Duration::from_millis(150)).await;
+            if self.mute.load(Ordering::Relaxed) {
+                continue;
+            }
+            let body = {
+                let mut m = m.lock();
+                if m.gone {
+                    return;
+                }
+                let now = Instant::now();
+                for t in m.tasks.values_mut() {
+                    if t.state == TaskState::Running && t.until <= now {
+                        (t.state, t.why) = (TaskState::Exited, Some(Why::Done));
+                    }
+                }
+                serde_json::to_vec(&report_of(&mut m)).expect("json")
+            };
+            let to = self.controllers[at % self.controllers.len()].1.to_string();
+            let r = http
+                .call(
+                    hyper::Method::POST,
+                    &to,
+                    "/v1/report",
+                    Some(body.clone()),
+                    Duration::from_secs(2),
+                )
+                .await;
+            match r {
+                Ok(r) if r.status == 200 => {
+                    self.reported.lock().push(body);
+                    let reply: ReportReply = serde_json::from_slice(&r.body).expect("a reply");
+                    let mut m = m.lock();
+                    if reply.token < m.token {
+                        continue;
+                    }
+                    m.token = reply.token;
+                    for c in reply.commands {
+                        self.execute(&mut m, c);
+                    }
+                }
+                Ok(r) if r.status == 421 => {
+                    let to = serde_json::from_slice::<Redirect>(&r.body)
+                        .expect("a body")
+                        .report_to;
+                    at = self
+                        .controllers
+                        .iter()
+                        .position(|c| Some(&c.0) == to.as_ref())
+                        .unwrap_or(at + 1);
+                }
+                _ => at += 1,
+            }
+        }
+    }
+}
+
+fn report_of(m: &mut Machine) -> Report {
+    m.seq += 1;
+    Report {
+        machine: m.id.clone(),
+        addr: m.addr.clone(),
+        machine_type: "small".into(),
+        zone: m.zone.clone(),
+        spot: m.spot,
+        session: 1,
+        seq: m.seq,
+        token: m.token,
+        notice_s: None,
+        tasks: m
+            .tasks
+            .iter()
+            .map(|(t, x)| ReportedTask {
+                task: *t,
+                attempt: x.attempt,
+                state: x.state,
+                why: x.why,
+                saved: None,
+            })
+            .collect(),
+    }
+}
