--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -1,28 +1,20 @@
 //! One scheduling round's view of the machines, and the steps that place tasks
 //! on them: in order, by preemption, and by backfilling.
 
+mod preemption;
+mod rules;
+mod search;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use super::admission::type_allowed;
-use super::borrowed::BorrowedLoad;
 use super::model::{Model, EPS};
-use super::plan::{Round, Usage};
+use super::plan::Usage;
 use super::ranking::{Rank, Tier, BEGIN_TASKS};
 use super::room::{Load, Room};
-use super::slot::SlotState;
 use crate::wire::{JobId, JobSpec, Kind, MachineType, TaskId};
 
-/// How good a machine is for a task, the smaller the better: work lost to
-/// preemption, the job failed there, image absent, not spot, price, room left.
-type Score = (Duration, bool, bool, bool, f64, f64);
-
-/// Where a task is to go, and what has to stop for it.
-struct Place {
-    at: usize,
-    task: TaskId,
-    victims: Vec<TaskId>,
-}
+use search::{Place, Score};
 
 /// How a placement attempt went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +26,37 @@
     Barred,
 }
 
+/// How tasks of a job are to be placed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Mode {
+    /// They are backfilled.
+    pub(super) backfill: bool,
+    /// They are predicted to end by then.
+    pub(super) ends_by: Option<Instant>,
+    /// So many at the most.
+    pub(super) most: u32,
+}
+
+impl Mode {
+    /// In order, so many at the most.
+    pub(super) fn in_order(most: u32) -> Self {
+        Self {
+            backfill: false,
+            ends_by: None,
+            most,
+        }
+    }
+
+    /// Backfilled, where they are predicted to end by then.
+    pub(super) fn backfill(ends_by: Option<Instant>) -> Self {
+        Self {
+            backfill: true,
+            ends_by,
+            most: u32::MAX,
+        }
+    }
+}
+
 pub(super) struct Planner<'m> {
     pub(super) model: &'m mut Model,
     now: Instant,
@@ -112,40 +135,6 @@
         }
     }
 
-    /// Fills in what runs on the machines; as shadow only what the head outranks.
-    fn load(&mut self, head: Rank, mut borrowed: BorrowedLoad) {
-        self.loaded = true;
-        let (model, now) = (&*self.model, self.now);
-        for room in &mut self.rooms {
-            let Some(m) = model.machines.get(&room.machine) else {
-                continue;
-            };
-            for (task, s) in m.slots.iter().filter(|(_, s)| s.takes_room()) {
-                let Some(spec) = &s.spec else { continue };
-                let rank = self.ranks.get(&task.job).copied();
-                let lives = s.stop.is_none() && !matches!(s.state, SlotState::Saving);
-                let outranked = lives && rank.is_some_and(|r| r > head);
-                let lent = outranked && !s.backfilled && borrowed.admits_stop(model, task.job, s, now);
-                room.load.push(Load {
-                    end: if s.stop.is_some() {
-                        now
-                    } else {
-                        model.predicted_end(s, now)
-                    },
-                    cpus: spec.cpus,
-                    gpus: spec.gpus,
-                    memory: spec.memory_gb,
-                    shadow: outranked && s.backfilled || lent,
-                    borrowed: lent,
-                    rank,
-                    task: *task,
-                    grace: spec.grace(),
-                    started: s.running_since.unwrap_or(s.placed_at),
-                });
-            }
-        }
-    }
-
     /// How many tasks of a job go in its present place in the queue.
     pub(super) fn first_tasks(&self, id: JobId, tier: Tier) -> u32 {
         match self.model.jobs.get(&id) {
@@ -168,82 +157,13 @@
         self.open.retain(|at| rooms[*at].cpus > EPS);
     }
 
-    /// Whether the team's limit leaves room for so many more tasks.
-    fn within_limit(&self, spec: &JobSpec, tasks: usize) -> bool {
-        let n = tasks as f64;
-        let Some(team) = self.model.config.teams.get(&spec.team) else {
-            return false;
-        };
-        let used = self.usage.get(&spec.team).copied().unwrap_or_default();
-        let ok = |most: f64, used: f64, need: f64| most <= 0.0 || used + need * n <= most + EPS;
-        ok(team.cpus_max, used.cpus, spec.cpus) && ok(team.gpus_max, used.gpus, spec.gpus)
-    }
-
-    /// Zones of the job's tasks, wherever they may be.
-    fn zones_of(&mut self, id: JobId) -> &mut BTreeMap<String, u32> {
-        let model = &self.model;
-        self.zones.entry(id).or_insert_with(|| {
-            let mut zones = BTreeMap::new();
-            if let Some(job) = model.jobs.get(&id) {
-                for m in job
-                    .places
-                    .values()
-                    .flatten()
-                    .filter_map(|m| model.machines.get(m))
-                {
-                    *zones.entry(m.zone.clone()).or_default() += 1;
-                }
-            }
-            zones
-        })
-    }
-
-    /// Zones that the job's rules forbid for its next task; `None`: no rule.
-    fn zone_rule(&mut self, spec: &JobSpec) -> Option<BTreeMap<String, u32>> {
-        (spec.one_zone || spec.spread).then(|| self.zones_of(spec.id).clone())
-    }
-
-    fn zone_allowed(spec: &JobSpec, zones: Option<&BTreeMap<String, u32>>, zone: &str) -> bool {
-        if spec.zone.as_ref().is_some_and(|z| z != zone) {
-            return false;
-        }
-        let Some(zones) = zones else { return true };
-        if spec.one_zone && zones.keys().any(|z| z != zone) {
-            return false;
-        }
-        if spec.spread {
-            let here = zones.get(zone).copied().unwrap_or(0);
-            if here + 1 > spec.tasks.div_ceil(2) {
-                return false;
-            }
-        }
-        true
-    }
-
-    fn machine_allowed(&self, spec: &JobSpec, room: &Room) -> bool {
-        (spec.spot || !room.spot)
-            && type_allowed(spec, &self.types[room.kind])
-            && !room.closed
-            && room
-                .recall
-                .is_none_or(|r| self.now + self.model.predict(spec) < r)
-    }
-
-    /// Places as many of a job's waiting tasks as fit and `most` allows, a
-    /// gang's all or none; with `limit`, only where they are predicted to end
-    /// by then.
-    pub(super) fn place_all(
-        &mut self,
-        id: JobId,
-        backfill: bool,
-        limit: Option<Instant>,
-        most: u32,
-        count: &mut u32,
-    ) -> Tried {
+    /// Places as many of a job's waiting tasks as fit and the mode allows, a
+    /// gang's all or none.
+    pub(super) fn place_all(&mut self, id: JobId, mode: Mode, count: &mut u32) -> Tried {
         if !self.plainly && self.alike(id) {
-            return self.place_alike(id, backfill, limit, most, count);
+            return self.place_alike(id, mode, count);
         }
-        let until = count.saturating_add(most);
+        let until = count.saturating_add(mode.most);
         while *count < until {
             let Some(batch) = self.next_batch(id) else {
                 return Tried::Placed;
@@ -251,11 +171,11 @@
             if self.barred(id, batch.len()) {
                 return Tried::Barred;
             }
-            let Some(places) = self.find(id, &batch, limit, false) else {
+            let Some(places) = self.find(id, &batch, mode.ends_by, false) else {
                 return Tried::NoRoom;
             };
             *count += places.len() as u32;
-            self.take(places, backfill, id);
+            self.take(places, mode.backfill, id);
         }
         Tried::Placed
     }
@@ -270,18 +190,11 @@
 
     /// [`Planner::place_all`] for tasks that are alike: the machines are judged
     /// once, then filled from the best on, as one by one would do it.
-    fn place_alike(
-        &mut self,
-        id: JobId,
-        backfill: bool,
-        limit: Option<Instant>,
-        most: u32,
-        count: &mut u32,
-    ) -> Tried {
+    fn place_alike(&mut self, id: JobId, mode: Mode, count: &mut u32) -> Tried {
         let Some(job) = self.model.jobs.get(&id) else {
             return Tried::Placed;
         };
-        if job.waiting.count() == 0 || most == 0 {
+        if job.waiting.count() == 0 || mode.most == 0 {
             return Tried::Placed;
         }
         if self.barred(id, 1) {
@@ -291,13 +204,18 @@
         let mut good: Vec<(Score, usize)> = self
             .open
             .iter()
-            .filter_map(|at| Some((self.judge(&self.rooms[*at], &spec, None, limit, false)?.0, *at)))
+            .filter_map(|at| {
+                Some((
+                    self.judge(&self.rooms[*at], &spec, None, mode.ends_by, false)?.0,
+                    *at,
+                ))
+            })
             .collect();
         if good.is_empty() {
             return Tried::NoRoom;
         }
         good.sort_unstable_by(|a, b| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
-        let mut left: VecDeque<u32> = job.waiting.iter().take(most as usize).collect();
+        let mut left: VecDeque<u32> = job.waiting.iter().take(mode.most as usize).collect();
         let attempt = self.model.new_attempt();
         let mut outcome = Tried::NoRoom;
         'machines: for (_, at) in good {
@@ -321,7 +239,7 @@
                     task,
                     victims: Vec::new(),
                 };
-                self.take_one(place, backfill, &spec, attempt);
+                self.take_one(place, mode.backfill, &spec, attempt);
             }
             for index in passed.into_iter().rev() {
                 left.push_front(index);
@@ -339,35 +257,6 @@
         outcome
     }
 
-    /// Stops shadow tasks if that starts tasks of the head (a gang: all of
-    /// them) at once; lowest priority first, where the least work is lost.
-    pub(super) fn preempt_for(&mut self, head: JobId, rank: Rank, round: &mut Round) {
-        let borrowed = BorrowedLoad::for_head(self.model, head, &self.ranks);
-        if !self.model.shadows && borrowed.is_empty() {
-            return;
-        }
-        self.load(rank, borrowed);
-        if !self.rooms.iter().any(|r| r.load.iter().any(|l| l.shadow)) {
-            return;
-        }
-        let mut left = self.first_tasks(head, rank.1);
-        while left > 0 {
-            let Some(batch) = self.next_batch(head) else {
-                return;
-            };
-            if self.barred(head, batch.len()) {
-                return;
-            }
-            let Some(places) = self.find(head, &batch, None, true) else {
-                return;
-            };
-            round.preempted += places.iter().map(|p| p.victims.len() as u32).sum::<u32>();
-            round.in_order += places.len() as u32;
-            left = left.saturating_sub(places.len() as u32);
-            self.take(places, false, head);
-        }
-    }
-
     /// What is to be placed together: one task, or all of a gang.
     fn next_batch(&self, id: JobId) -> Option<Vec<u32>> {
         let job = self.model.jobs.get(&id)?;
@@ -392,146 +281,6 @@
             || !self.within_limit(&job.spec, tasks)
     }
 
-    /// Finds places for tasks of a job, without taking them.
-    fn find(
-        &mut self,
-        id: JobId,
-        batch: &[u32],
-        limit: Option<Instant>,
-        preempt: bool,
-    ) -> Option<Vec<Place>> {
-        let job = self.model.jobs.get(&id)?;
-        let spec = job.spec.clone();
-        let mut zones = self.zone_rule(&spec);
-        let unbound = spec.one_zone && zones.as_ref().is_some_and(BTreeMap::is_empty);
-        if batch.len() == 1 && !unbound {
-            let task = TaskId {
-                job: id,
-                index: batch[0],
-            };
-            return self
-                .find_one(&self.rooms, &spec, task, zones.as_ref(), limit, preempt)
-                .map(|p| vec![p]);
-        }
-        // A job bound to one zone takes the one with the most room for it.
-        let mut tries: Vec<Option<usize>> = vec![None];
-        if unbound {
-            let mut room_in: BTreeMap<usize, u32> = BTreeMap::new();
-            for r in self.rooms.iter().filter(|r| self.machine_allowed(&spec, r)) {
-                *room_in.entry(r.zone).or_default() += r.room_for(&spec);
-            }
-            let mut by_room: Vec<_> = room_in.into_iter().collect();
-            by_room.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
-            tries = by_room.into_iter().map(|(z, _)| Some(z)).collect();
-        }
-        for only in tries {
-            let mut rooms = self.rooms.clone();
-            if let Some(z) = only {
-                rooms
-                    .iter_mut()
-                    .filter(|r| r.zone != z)
-                    .for_each(|r| r.closed = true);
-            }
-            let mut found = Vec::new();
-            let mut counts = zones.take();
-            for index in batch {
-                let task = TaskId {
-                    job: id,
-                    index: *index,
-                };
-                let Some(p) = self.find_one(&rooms, &spec, task, counts.as_ref(), limit, preempt) else {
-                    break;
-                };
-                let room = &mut rooms[p.at];
-                for v in &p.victims {
-                    if let Some(i) = room.load.iter().position(|l| l.task == *v) {
-                        let l = room.load.remove(i);
-                        room.give_back(&l);
-                    }
-                }
-                room.claim(&spec);
-                if let Some(c) = &mut counts {
-                    *c.entry(self.names[room.zone].clone()).or_default() += 1;
-                }
-                found.push(p);
-            }
-            if found.len() == batch.len() {
-                return Some(found);
-            }
-            zones = self.zone_rule(&spec);
-        }
-        None
-    }
-
-    /// The best machine for a task; with `preempt`, counting what its shadow
-    /// tasks would give back.
-    fn find_one(
-        &self,
-        rooms: &[Room],
-        spec: &JobSpec,
-        task: TaskId,
-        zones: Option<&BTreeMap<String, u32>>,
-        limit: Option<Instant>,
-        preempt: bool,
-    ) -> Option<Place> {
-        let mut best: Option<(Score, Place)> = None;
-        for (at, room) in rooms.iter().enumerate() {
-            let taken = || {
-                let m = self.model.machines.get(&room.machine);
-                m.is_none_or(|m| m.slots.contains_key(&task))
-            };
-            let Some((score, victims)) = self.judge(room, spec, zones, limit, preempt) else {
-                continue;
-            };
-            if !taken() && best.as_ref().is_none_or(|(b, _)| score < *b) {
-                best = Some((score, Place { at, task, victims }));
-            }
-        }
-        best.map(|(_, p)| p)
-    }
-
-    /// How good a machine is for a job's task, and what would have to stop.
-    fn judge(
-        &self,
-        room: &Room,
-        spec: &JobSpec,
-        zones: Option<&BTreeMap<String, u32>>,
-        limit: Option<Instant>,
-        preempt: bool,
-    ) -> Option<(Score, Vec<TaskId>)> {
-        let free = room.fits(spec);
-        if !(free || preempt)
-            || !self.machine_allowed(spec, room)
-            || !Self::zone_allowed(spec, zones, &self.names[room.zone])
-        {
-            return None;
-        }
-        let job = self.model.jobs.get(&spec.id)?;
-        let m = self.model.machines.get(&room.machine)?;
-        let (lost, victims) = if free {
-            (Duration::ZERO, Vec::new())
-        } else {
-            room.victims(spec, self.now)?
-        };
-        let cached = m.has_image(&spec.image);
-        let kind = &self.types[room.kind];
-        if let Some(limit) = limit {
-            let fetch = if cached || kind.fetch_gb_per_s <= 0.0 {
-                Duration::ZERO
-            } else {
-                Duration::from_secs_f64(spec.image_gb / kind.fetch_gb_per_s)
-            };
-            if self.now + self.model.predict(spec) + fetch > limit {
-                return None;
-            }
-        }
-        let failed = job.failures.includes(&m.id);
-        let price = if room.spot { kind.spot_price } else { kind.price } / kind.cpus.max(1.0);
-        // Spot first, for what it costs, then the fullest machine.
-        let score = (lost, failed, !cached, !room.spot, price, room.cpus - spec.cpus);
-        Some((score, victims))
-    }
-
     fn take(&mut self, places: Vec<Place>, backfill: bool, id: JobId) {
         let Some(job) = self.model.jobs.get(&id) else {
             return;
@@ -594,40 +343,4 @@
         }
         self.model.place(&machine, p.task, attempt, backfill, self.now);
     }
-
-    /// When the head's next task is predicted to fit, counting sunny load
-    /// only; `None` if it can't be told.
-    pub(super) fn reservation(&mut self, head: JobId) -> Option<Instant> {
-        let job = self.model.jobs.get(&head)?;
-        job.waiting.first()?;
-        let spec = job.spec.clone();
-        if !self.loaded {
-            let rank = *self.ranks.get(&head)?;
-            self.load(rank, BorrowedLoad::default());
-        }
-        let zones = self.zone_rule(&spec);
-        let mut best = None;
-        for room in &self.rooms {
-            if !self.machine_allowed(&spec, room)
-                || !Self::zone_allowed(&spec, zones.as_ref(), &self.names[room.zone])
-            {
-                continue;
-            }
-            let mut after = room.bare();
-            room.load
-                .iter()
-                .filter(|l| l.shadow)
-                .for_each(|l| after.give_back(l));
-            let mut sunny: Vec<&Load> = room.load.iter().filter(|l| !l.shadow).collect();
-            sunny.sort_by_key(|l| l.end);
-            for l in sunny {
-                after.give_back(l);
-                if after.fits(&spec) {
-                    best = Some(best.map_or(l.end, |b: Instant| b.min(l.end)));
-                    break;
-                }
-            }
-        }
-        best
-    }
 }
--- a/src/core/plan.rs
+++ b/src/core/plan.rs
@@ -7,7 +7,7 @@
 
 use super::machine::{Machine, Phase};
 use super::model::Model;
-use super::placement::{Planner, Tried};
+use super::placement::{Mode, Planner, Tried};
 use super::ranking::Rank;
 use crate::wire::{JobId, MachineId, TaskId};
 
@@ -88,7 +88,7 @@
         let mut head: Option<(usize, Rank)> = None;
         for (at, (rank, id)) in queue.iter().enumerate() {
             let most = p.first_tasks(*id, rank.1);
-            let tried = p.place_all(*id, false, None, most, &mut round.in_order);
+            let tried = p.place_all(*id, Mode::in_order(most), &mut round.in_order);
             if tried == Tried::NoRoom {
                 head = Some((at, *rank));
                 break;
@@ -116,12 +116,12 @@
             by_finish.sort_unstable();
             if let Some(limit) = p.reservation(head_id) {
                 for (_, _, id) in &by_finish {
-                    p.place_all(*id, true, Some(limit), u32::MAX, &mut round.backfilled);
+                    p.place_all(*id, Mode::backfill(Some(limit)), &mut round.backfilled);
                 }
             }
             // Then whatever room is left, by priority.
             for (_, id) in rest {
-                p.place_all(*id, true, None, u32::MAX, &mut round.backfilled);
+                p.place_all(*id, Mode::backfill(None), &mut round.backfilled);
             }
         }
         let ranks = std::mem::take(&mut p.ranks);
