--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! What the fleet does with machines that are silent, cut off, noticed or deaf.
+//! What the fleet does with machines that are silent, cut off, noticed, or that take no commands.
 
 mod support;
 
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -28,36 +28,39 @@
             proptest::option::of("[a-z]{1,4}"),
             0.0..9e5f64,
             proptest::option::of(0.0..9e5f64),
+            proptest::collection::vec(any_id(), 0..4),
         ),
     )
         .prop_map(
-            |((id, class, team, k, p, tasks), (cpus, gpus, mem, b), (types, zone, est, due))| JobSpec {
-                id,
-                class,
-                team,
-                kind: [Kind::Array, Kind::Service, Kind::Gang][k as usize],
-                priority: [
-                    Priority::Low,
-                    Priority::Normal,
-                    Priority::High,
-                    Priority::Production,
-                ][p as usize],
-                tasks,
-                cpus: f64::from(cpus) / 4.0,
-                gpus: f64::from(gpus),
-                memory_gb: f64::from(mem) / 8.0,
-                image: "img-07".into(),
-                image_gb: 6.2,
-                types,
-                zone,
-                one_zone: b[0],
-                spread: b[1],
-                spot: b[2],
-                estimate_s: est,
-                checkpoint_s: 30.0,
-                save_s: 4.0,
-                deadline_s: due,
-                awaits: Vec::new(),
+            |((id, class, team, k, p, tasks), (cpus, gpus, mem, b), (types, zone, est, due, awaits))| {
+                JobSpec {
+                    id,
+                    class,
+                    team,
+                    kind: [Kind::Array, Kind::Service, Kind::Gang][k as usize],
+                    priority: [
+                        Priority::Low,
+                        Priority::Normal,
+                        Priority::High,
+                        Priority::Production,
+                    ][p as usize],
+                    tasks,
+                    cpus: f64::from(cpus) / 4.0,
+                    gpus: f64::from(gpus),
+                    memory_gb: f64::from(mem) / 8.0,
+                    image: "img-07".into(),
+                    image_gb: 6.2,
+                    types,
+                    zone,
+                    one_zone: b[0],
+                    spread: b[1],
+                    spot: b[2],
+                    estimate_s: est,
+                    checkpoint_s: 30.0,
+                    save_s: 4.0,
+                    deadline_s: due,
+                    awaits,
+                }
             },
         )
 }
@@ -76,7 +79,7 @@
     fn a_submission_without_a_required_field_is_refused(spec in any_spec(), at in 0usize..17) {
         let mut v = serde_json::to_value(&spec).expect("json");
         let o = v.as_object_mut().expect("an object");
-        let optional = ["rigs", "yard", "due_s"];
+        let optional = ["rigs", "yard", "due_s", "awaits"];
         let field: Vec<String> = o.keys().filter(|k| !optional.contains(&k.as_str())).cloned().collect();
         o.remove(&field[at % field.len()]);
         prop_assert!(serde_json::from_value::<JobSpec>(v).is_err());
@@ -188,6 +191,31 @@
             "list_lag_s = 4.0\n[cluster.machine_limits]\ncore_share = 0.0",
             "cluster.machine_limits.core_share",
         ),
+        (
+            "txn_ops = 12",
+            "txn_ops = 12\nnext = { rps = 0.0 }",
+            "cluster.state.next.rps",
+        ),
+        (
+            "txn_ops = 12",
+            "txn_ops = 12\nnext = { write_rps = -1.0 }",
+            "cluster.state.next.write_rps",
+        ),
+        (
+            "txn_ops = 12",
+            "txn_ops = 12\nnext = { value_kb = 0.0 }",
+            "cluster.state.next.value_kb",
+        ),
+        (
+            "txn_ops = 12",
+            "txn_ops = 12\nnext = { txn_ops = 1 }",
+            "cluster.state.next.txn_ops",
+        ),
+        (
+            "txn_ops = 12",
+            "txn_ops = 12\nnext = { txn_ops = \"few\" }",
+            "cluster.state.next.txn_ops",
+        ),
     ] {
         let text = support::SETTINGS.replace(from, to);
         let e = Platform::parse(&text, "test").expect_err(field).to_string();
@@ -202,6 +230,13 @@
         let p = Platform::parse(&text, "test").expect("either way");
         assert_eq!(p.params.limits.sockets, 3000);
     }
+    // The smaller of both limits counts, whichever is announced.
+    let text = support::SETTINGS.replace(
+        "txn_ops = 12",
+        "txn_ops = 12\nnext = { value_kb = 8.0, txn_ops = 5 }",
+    );
+    let limits = Platform::parse(&text, "test").expect("valid").params.state;
+    assert_eq!((limits.value_bytes(), limits.least_txn_ops()), (4096, 5));
     // Optional tables may be missing.
     let text = support::SETTINGS.split("[cluster.state]").next().expect("text");
     assert!(Platform::parse(text, "test").is_ok());
--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -224,7 +224,7 @@
         };
         let now = self.clock(who);
         if self.times.peers {
-            // A word of a newer term ends an older one.
+            // A message of a newer term ends an older one.
             l.over |= self.leaders.iter().flatten().any(|o| o.term > l.term);
         }
         let state = self.state(who);
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -42,7 +42,7 @@
         1 => any::<usize>().prop_map(Op::Expire),
         1 => any::<usize>().prop_map(Op::Release),
         1 => any::<usize>().prop_map(Op::Die),
-        1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::Deaf(m, d)),
+        1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::Unreachable(m, d)),
         1 => (any::<usize>(), any::<bool>()).prop_map(|(i, r)| Op::Reboot(i, r)),
         1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::Mute(m, d)),
         1 => any::<usize>().prop_map(Op::CancelAtEnd),
@@ -66,10 +66,10 @@
             w.step(op);
         }
     }
-    w.step(Op::Deaf(usize::MAX - 1, false));
+    w.step(Op::Unreachable(usize::MAX - 1, false));
     w.mute.clear();
     for x in &mut w.workers {
-        x.deaf = false;
+        x.unreachable = false;
     }
     w
 }
@@ -184,7 +184,7 @@
         submit(4, 8, true),
         deliver(14900104632600383177),
         deliver(9102860268548386656),
-        Op::Deaf(3, true),
+        Op::Unreachable(3, true),
         deliver(8569058169103209391),
         Op::Cancel(12789475987345334307),
         deliver(4598935939551699462),
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -82,7 +82,7 @@
     Die(usize),
     Release(usize),
     /// Commands and answers reach so many machines no more, or again.
-    Deaf(usize, bool),
+    Unreachable(usize, bool),
     /// Reports of so many machines arrive nowhere, or again.
     Mute(usize, bool),
     /// A job is called off at the very moment at which all tasks on a machine
@@ -218,7 +218,7 @@
     pub fn deliver(&mut self, m: Message) {
         match m {
             Message::Command { to, commands, term } => {
-                let Some(w) = self.worker(&to).filter(|w| w.alive && !w.deaf) else {
+                let Some(w) = self.worker(&to).filter(|w| w.alive && !w.unreachable) else {
                     self.mail.push(Message::Answer {
                         from: to,
                         report: None,
@@ -262,7 +262,7 @@
                 sent,
             } => {
                 let now = self.now;
-                if let Some(w) = self.worker(&to).filter(|w| w.alive && !w.deaf) {
+                if let Some(w) = self.worker(&to).filter(|w| w.alive && !w.unreachable) {
                     // Answers that are late, of an earlier session or of an
                     // earlier leader are dropped.
                     if now > sent + PATIENCE || session != w.session || token < w.token {
@@ -316,7 +316,7 @@
                 let _ = self.model.reply(&r.machine, r.token, self.now);
             }
             Message::Command { to, commands, .. } => {
-                if let Some(w) = self.worker(&to).filter(|w| w.alive && !w.deaf) {
+                if let Some(w) = self.worker(&to).filter(|w| w.alive && !w.unreachable) {
                     for t in w.run(&commands) {
                         self.no_double(t);
                     }
@@ -655,9 +655,9 @@
                 w.seq = 0;
             }
             Op::Die(i) => self.workers[i % n].alive = false,
-            Op::Deaf(many, deaf) => {
+            Op::Unreachable(many, unreachable) => {
                 for w in self.workers.iter_mut().take(many % n + 1) {
-                    w.deaf = deaf;
+                    w.unreachable = unreachable;
                 }
             }
             Op::Reboot(i, renewed) => {
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -19,7 +19,7 @@
     pub tasks: BTreeMap<TaskId, (u64, TaskState, Option<Why>)>,
     pub alive: bool,
     /// Its reports arrive, but answers and commands don't reach it.
-    pub deaf: bool,
+    pub unreachable: bool,
     /// Its last answered report was sent then; its lease runs from there.
     pub renewed: Instant,
 }
@@ -35,7 +35,7 @@
             token: 0,
             tasks: BTreeMap::new(),
             alive: true,
-            deaf: false,
+            unreachable: false,
             renewed: now,
         }
     }
