--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -49,6 +49,15 @@
 
     /// A site whose settings are changed by `edit`.
     pub async fn with(run: Duration, edit: impl Fn(String) -> String) -> Self {
+        let mut site = Self::without_controllers(run, edit).await;
+        for i in 0..3 {
+            site.boot(i);
+        }
+        site
+    }
+
+    /// The same, none of whose controllers has been started.
+    pub async fn without_controllers(run: Duration, edit: impl Fn(String) -> String) -> Self {
         let api: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
         let back: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
         let state = Arc::new(State::default());
@@ -75,17 +84,18 @@
                 ))
             })
             .collect();
-        let mut site = Self {
+        Self {
             state,
             cloud,
             api,
             texts,
             stops: vec![None, None, None],
-        };
-        for i in 0..3 {
-            site.boot(i);
         }
-        site
+    }
+
+    /// A controller's settings.
+    pub fn settings(&self, i: usize) -> &str {
+        &self.texts[i]
     }
 
     /// Runs a controller on a thread of its own, as a process would.
