--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -110,6 +110,30 @@
     });
 }
 
+#[test]
+fn limits_that_fall_between_a_write_and_its_answer_lose_and_repeat_no_acceptance() {
+    // Some transactions get no answer and are carried out late; what is sent again
+    // meanwhile may be refused for its size. The keys tell what became of it.
+    on_loopback(async {
+        let site = Site::start(Duration::from_millis(100)).await;
+        site.until_some_leader().await;
+        site.state.late_writes(Some((4, Duration::from_millis(700))));
+        let lower = async {
+            sleep(Duration::from_millis(300)).await;
+            site.state.limit_sizes(4096, 2);
+        };
+        tokio::join!(submit_at_once(&site, 1..=30), lower);
+        site.state.late_writes(None);
+        let (failed, carried_out) = site.state.late_outcomes();
+        assert!(failed + carried_out > 0, "no transaction was late");
+        for n in 1..=30u32 {
+            site.until(n as usize % 3, &format!("job-{n:06}"), "done").await;
+            assert_eq!(site.state.puts_of(&format!("jobs/job-{n:06}")), 1, "job {n}");
+        }
+        assert!(site.cloud.doubles.lock().is_empty());
+    });
+}
+
 #[test]
 fn a_record_that_is_too_large_by_now_is_cancelled_all_the_same() {
     // Accepted while values could be larger; to write it again as it is would be
