--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -11,23 +11,12 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
-use site::{on_loopback, Site, LONG};
+use site::{job_name, on_loopback, Site, LONG};
 use standins::ask;
 use tokio::time::sleep;
 
 pub use support::types;
 
-fn name(n: u32) -> String {
-    format!("job-{n:06}")
-}
-
-/// A job of one task that waits for others.
-fn chained(site: &Site, n: u32, awaits: &[u32]) -> Value {
-    let mut v = site.job(n, 1);
-    v["awaits"] = json!(awaits.iter().map(|a| name(*a)).collect::<Vec<_>>());
-    v
-}
-
 async fn accept(site: &Site, at: usize, body: Value) {
     let (status, v) = site.insist("POST", at, "/v2/runs", Some(body)).await;
     assert!([200, 201].contains(&status), "at {at}: {status} {v}");
@@ -61,10 +50,10 @@
         );
     }
     let impossible = [
-        (json!([name(999_999)]), "never accepted"),
-        (json!([name(1), name(999_999)]), "never accepted"),
-        (json!([name(first)]), "itself"),
-        (json!([name(3)]), "service"),
+        (json!([job_name(999_999)]), "never accepted"),
+        (json!([job_name(1), job_name(999_999)]), "never accepted"),
+        (json!([job_name(first)]), "itself"),
+        (json!([job_name(3)]), "service"),
     ];
     for (awaits, why) in impossible {
         let (status, v) = site
@@ -76,35 +65,39 @@
             "{awaits} at {at}: {status} {v}"
         );
     }
-    let path = format!("/v2/runs/{}", name(first));
+    let path = format!("/v2/runs/{}", job_name(first));
     assert_eq!(
         site.insist("GET", at, &path, None).await.0,
         404,
         "nothing was stored"
     );
-    assert!(!site.state.has(&format!("jobs/{}", name(first))));
+    assert!(!site.state.has(&format!("jobs/{}", job_name(first))));
     // Absent, null and empty are alike; what is done holds nobody up.
-    for (n, awaits) in [(0, json!(null)), (1, json!([])), (2, json!([name(1), name(1)]))] {
+    for (n, awaits) in [
+        (0, json!(null)),
+        (1, json!([])),
+        (2, json!([job_name(1), job_name(1)])),
+    ] {
         let mut body = site.job(first + n, 1);
         body["awaits"] = awaits;
         accept(site, at, body).await;
-        site.until(at, &name(first + n), "done").await;
+        site.until(at, &job_name(first + n), "done").await;
     }
     // What is cancelled, also through others accepted at another controller.
     let other = (0..3).find(|o| *o != at && site.is_up(*o)).unwrap_or(at);
-    accept(site, at, chained(site, first + 3, &[2])).await;
-    accept(site, other, chained(site, first + 4, &[1, first + 3])).await;
+    accept(site, at, site.job_awaiting(first + 3, 1, &[2])).await;
+    accept(site, other, site.job_awaiting(first + 4, 1, &[1, first + 3])).await;
     for n in [3, 4] {
-        let v = site.until(at, &name(first + n), "cancelled").await;
+        let v = site.until(at, &job_name(first + n), "cancelled").await;
         assert_eq!(v["done"], 0);
     }
     // Of a job that waits for one that runs.
-    accept(site, at, chained(site, first + 5, &[4, 5])).await;
-    let path = format!("/v2/runs/{}", name(first + 5));
+    accept(site, at, site.job_awaiting(first + 5, 1, &[4, 5])).await;
+    let path = format!("/v2/runs/{}", job_name(first + 5));
     let (_, v) = site.insist("GET", other, &path, None).await;
     assert_eq!(v["standing"], "queued");
     // A known id is looked up first, whatever stands in the body.
-    let mut again = chained(site, first + 5, &[999_999]);
+    let mut again = site.job_awaiting(first + 5, 1, &[999_999]);
     assert_eq!(
         site.insist("POST", at, "/v2/runs", Some(again.clone())).await.0,
         200
@@ -118,12 +111,12 @@
     on_loopback(async {
         let mut site = Site::start(Duration::from_millis(200)).await;
         for n in [2, 5] {
-            site.cloud.run_slowly(&name(n));
+            site.cloud.run_slowly(&job_name(n));
         }
         accept(&site, 0, site.job(1, 1)).await;
-        site.until(0, &name(1), "done").await;
+        site.until(0, &job_name(1), "done").await;
         accept(&site, 0, site.job(2, 1)).await;
-        let path = format!("/v2/runs/{}/cancel", name(2));
+        let path = format!("/v2/runs/{}/cancel", job_name(2));
         assert_eq!(
             site.insist("POST", 0, &path, None).await.1["standing"],
             "cancelled"
@@ -132,7 +125,7 @@
         service["sort"] = json!("daemon");
         accept(&site, 0, service).await;
         accept(&site, 0, site.job(5, 1)).await;
-        accept(&site, 0, chained(&site, 4, &[5])).await;
+        accept(&site, 0, site.job_awaiting(4, 1, &[5])).await;
         for at in 0..3 {
             check_acceptance(&site, at, 100 * (at as u32 + 1)).await;
         }
@@ -146,7 +139,13 @@
         site.state.outage(true);
         let at = (gone + 1) % 3;
         let began = Instant::now();
-        let (status, _) = ask("POST", site.api[at], "/v2/runs", Some(chained(&site, 9000, &[1]))).await;
+        let (status, _) = ask(
+            "POST",
+            site.api[at],
+            "/v2/runs",
+            Some(site.job_awaiting(9000, 1, &[1])),
+        )
+        .await;
         assert_eq!(status, 503);
         assert!(began.elapsed() < LONG / 10);
     });
@@ -156,26 +155,26 @@
 fn a_cancellation_is_told_of_all_jobs_after_it_at_every_controller() {
     on_loopback(async {
         let mut site = Site::start(Duration::from_millis(200)).await;
-        site.cloud.run_slowly(&name(1));
+        site.cloud.run_slowly(&job_name(1));
         accept(&site, 0, site.job(1, 1)).await;
         for n in 2..6 {
-            accept(&site, n as usize % 3, chained(&site, n, &[n - 1])).await;
+            accept(&site, n as usize % 3, site.job_awaiting(n, 1, &[n - 1])).await;
         }
-        site.until(0, &name(1), "running").await;
+        site.until(0, &job_name(1), "running").await;
         for n in 2..6 {
             let (_, v) = site
-                .insist("GET", 0, &format!("/v2/runs/{}", name(n)), None)
+                .insist("GET", 0, &format!("/v2/runs/{}", job_name(n)), None)
                 .await;
             assert_eq!(v["standing"], "queued", "job {n} waits");
         }
         let follower = (site.leader().expect("a leader") + 1) % 3;
-        let path = format!("/v2/runs/{}/cancel", name(1));
+        let path = format!("/v2/runs/{}/cancel", job_name(1));
         let (_, v) = site.insist("POST", follower, &path, None).await;
         assert_eq!(v["standing"], "cancelled");
         let all_cancelled = async |site: &Site, jobs: std::ops::Range<u32>| {
             for at in (0..3).filter(|at| site.is_up(*at)) {
                 for n in jobs.clone() {
-                    let path = format!("/v2/runs/{}", name(n));
+                    let path = format!("/v2/runs/{}", job_name(n));
                     let (status, v) = site.insist("GET", at, &path, None).await;
                     assert_eq!(
                         (status, &v["standing"]),
@@ -192,11 +191,11 @@
             let body = if n == 51 {
                 site.job(n, 1)
             } else {
-                chained(&site, n, &[n - 1])
+                site.job_awaiting(n, 1, &[n - 1])
             };
             let spec: bitternfold::wire::JobSpec = serde_json::from_value(body).expect("a job");
             let record = json!({"spec": spec, "at": 0, "cancelled": n == 51});
-            site.state.plant(&format!("jobs/{}", name(n)), record);
+            site.state.plant(&format!("jobs/{}", job_name(n)), record);
         }
         all_cancelled(&site, 52..55).await;
         // Another leads, which knows no more than what is stored.
@@ -206,14 +205,14 @@
         all_cancelled(&site, 51..55).await;
         // To cancel one of them is answered alike, and all ends are stored.
         let up = (0..3).find(|at| site.is_up(*at)).expect("one is up");
-        let path = format!("/v2/runs/{}/cancel", name(54));
+        let path = format!("/v2/runs/{}/cancel", job_name(54));
         assert_eq!(
             site.insist("POST", up, &path, None).await.1["standing"],
             "cancelled"
         );
         let began = Instant::now();
         for n in (1..6).chain(51..55) {
-            while !site.state.has(&format!("final/{}", name(n))) {
+            while !site.state.has(&format!("final/{}", job_name(n))) {
                 assert!(began.elapsed() < LONG, "the end of job {n} is never stored");
                 sleep(Duration::from_millis(50)).await;
             }
@@ -228,11 +227,11 @@
         let mut site = Site::start(Duration::from_millis(400)).await;
         for n in 1..=JOBS {
             let before: Vec<u32> = (n.saturating_sub(2).max(1)..n).collect();
-            accept(&site, n as usize % 3, chained(&site, n, &before)).await;
+            accept(&site, n as usize % 3, site.job_awaiting(n, 1, &before)).await;
         }
         let standing = async |site: &Site, at: usize, n: u32| -> String {
             let (_, v) = site
-                .insist("GET", at, &format!("/v2/runs/{}", name(n)), None)
+                .insist("GET", at, &format!("/v2/runs/{}", job_name(n)), None)
                 .await;
             v["standing"].as_str().unwrap_or_default().to_owned()
         };
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -33,6 +33,11 @@
     listener.local_addr().expect("an address")
 }
 
+/// The id of the job with this number.
+pub fn job_name(n: u32) -> String {
+    format!("job-{n:06}")
+}
+
 /// Three controllers, a state service and a cloud.
 pub struct Site {
     pub state: Arc<State>,
@@ -161,6 +166,13 @@
         v
     }
 
+    /// A job that waits for others.
+    pub fn job_awaiting(&self, n: u32, tasks: u32, others: &[u32]) -> Value {
+        let mut v = self.job(n, tasks);
+        v["awaits"] = json!(others.iter().map(|other| job_name(*other)).collect::<Vec<_>>());
+        v
+    }
+
     /// Repeats a request until it is answered by something else than 503.
     pub async fn insist(&self, method: &str, at: usize, path: &str, body: Option<Value>) -> (u16, Value) {
         let began = Instant::now();
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -13,8 +13,8 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use serde_json::{json, Value};
-use site::{on_loopback, Site};
+use serde_json::Value;
+use site::{job_name, on_loopback, Site};
 use tokio::time::sleep;
 
 pub use support::types;
@@ -139,7 +139,7 @@
     async fn until_done(&self, jobs: std::ops::RangeInclusive<u32>) {
         for n in jobs {
             for at in 0..3 {
-                self.site.until(at, &name(n), "done").await;
+                self.site.until(at, &job_name(n), "done").await;
             }
         }
     }
@@ -152,15 +152,6 @@
     }
 }
 
-fn name(n: u32) -> String {
-    format!("job-{n:06}")
-}
-
-fn awaiting(mut job: Value, others: &[u32]) -> Value {
-    job["awaits"] = json!(others.iter().map(|n| name(*n)).collect::<Vec<_>>());
-    job
-}
-
 /// Replaces all controllers by the new version, lets jobs wait for others, and
 /// goes back again.
 async fn upgrade_and_back(leader_first: bool) {
@@ -169,7 +160,7 @@
     for n in 1..=3 {
         cluster.accept(n as usize % 3, cluster.site.job(n, 4)).await;
     }
-    cluster.site.cloud.run_slowly(&name(4));
+    cluster.site.cloud.run_slowly(&job_name(4));
     cluster.accept(0, cluster.site.job(4, 1)).await;
     for (turn, i) in cluster.order(leader_first).into_iter().enumerate() {
         // One ends before its turn and comes back as it was.
@@ -183,20 +174,20 @@
     cluster.until_done(1..=3).await;
     // What is new: jobs wait for those that the other version accepted.
     cluster
-        .accept(0, awaiting(cluster.site.job(20, 2), &[1, 10]))
+        .accept(0, cluster.site.job_awaiting(20, 2, &[1, 10]))
         .await;
     cluster
-        .accept(1, awaiting(cluster.site.job(21, 2), &[20, 12]))
+        .accept(1, cluster.site.job_awaiting(21, 2, &[20, 12]))
         .await;
-    cluster.accept(2, awaiting(cluster.site.job(22, 2), &[4])).await;
+    cluster.accept(2, cluster.site.job_awaiting(22, 2, &[4])).await;
     cluster.until_done(20..=21).await;
-    let path = format!("/v2/runs/{}/cancel", name(4));
+    let path = format!("/v2/runs/{}/cancel", job_name(4));
     assert_eq!(
         cluster.site.insist("POST", 1, &path, None).await.1["standing"],
         "cancelled"
     );
     for at in 0..3 {
-        cluster.site.until(at, &name(22), "cancelled").await;
+        cluster.site.until(at, &job_name(22), "cancelled").await;
     }
     // And back, now that no such job is left.
     for (turn, i) in cluster.order(!leader_first).into_iter().enumerate() {
@@ -209,7 +200,7 @@
     }
     for n in [4, 22] {
         for at in 0..3 {
-            cluster.site.until(at, &name(n), "cancelled").await;
+            cluster.site.until(at, &job_name(n), "cancelled").await;
         }
     }
     assert!(cluster.site.cloud.doubles.lock().is_empty());
