--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -50,6 +50,8 @@
     /// How long a controller and a machine stand still, from some time on.
     freeze: f64,
     hang: f64,
+    /// Whether the controller's steady clock stands still with it.
+    stops_clock: bool,
 }
 
 fn any_times() -> impl Strategy<Value = Times> {
@@ -72,6 +74,7 @@
             peers,
             freeze,
             hang,
+            stops_clock: false,
         },
     )
 }
@@ -131,6 +134,8 @@
     /// Where each reports, when next, and until when it hangs.
     to: Vec<(usize, Duration, Duration)>,
     frozen: Option<(usize, Duration)>,
+    /// For how long each controller's steady clock has stood still.
+    clock_stood: [Duration; 3],
     mail: Vec<(Duration, Mail)>,
     confirmed: Option<Duration>,
 }
@@ -162,6 +167,7 @@
                 .collect(),
             to: vec![(0, Duration::ZERO, Duration::ZERO); 4],
             frozen: None,
+            clock_stood: [Duration::ZERO; 3],
             mail: Vec::new(),
             confirmed: None,
             times,
@@ -170,7 +176,8 @@
 
     /// The time by one's own clock: controllers, then workers, then the state service.
     fn clock(&self, who: usize) -> Instant {
-        self.base + self.now.mul_f64(1.0 + self.drift[who])
+        let stood = self.clock_stood.get(who).copied().unwrap_or_default();
+        self.base + (self.now - stood).mul_f64(1.0 + self.drift[who])
     }
 
     /// Whether the state service answers a controller; ends leases that are over.
@@ -442,6 +449,9 @@
 
     fn tick(&mut self) {
         self.now += TICK;
+        if let Some((who, _)) = self.frozen.filter(|_| self.times.stops_clock) {
+            self.clock_stood[who] += TICK;
+        }
         for i in 0..4 {
             let now = self.clock(3 + i);
             let lease = self.config.lease;
@@ -457,7 +467,8 @@
         (0..4).for_each(|i| self.report(i));
         if let Some((who, _)) = self.frozen.filter(|f| f.1 <= self.now) {
             let now = self.clock(who);
-            if let Some(l) = &mut self.leaders[who] {
+            // One whose clock stood still, too, can't tell by it.
+            if let Some(l) = self.leaders[who].as_mut().filter(|_| !self.times.stops_clock) {
                 l.authority.woke(now);
                 l.model.listen_from(now);
             }
@@ -538,6 +549,14 @@
     fn cancelled_tasks_are_gone_in_time_through_the_gap(times in any_times(), seed in any::<u64>()) {
         World::new(times, seed).play();
     }
+
+    /// The same while the steady clock of a controller stands still with it, as
+    /// when a virtual machine is paused. The time of day goes on.
+    #[test]
+    fn cancelled_tasks_are_gone_in_time_though_a_clock_stood_still(times in any_times(), seed in any::<u64>()) {
+        let times = Times { stops_clock: true, ..times };
+        World::new(times, seed).play();
+    }
 }
 
 proptest! {
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -43,6 +43,7 @@
         1 => any::<usize>().prop_map(Op::Release),
         1 => any::<usize>().prop_map(Op::Die),
         1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::Unreachable(m, d)),
+        1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::HearsNoCommands(m, d)),
         1 => (any::<usize>(), any::<bool>()).prop_map(|(i, r)| Op::Reboot(i, r)),
         1 => (0..4usize, any::<bool>()).prop_map(|(m, d)| Op::Mute(m, d)),
         1 => any::<usize>().prop_map(Op::CancelAtEnd),
@@ -70,6 +71,7 @@
     w.mute.clear();
     for x in &mut w.workers {
         x.unreachable = false;
+        x.hears_no_commands = false;
     }
     w
 }
--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -1,8 +1,8 @@
 //! A cloud and its workers, with the troubles that tests ask for.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,12 +34,28 @@
     gone: bool,
 }
 
+/// One more of something, for as long as it lives.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A cloud whose machines are up at once and run every task for `run`.
 pub struct Cloud {
     pub controllers: Vec<(String, SocketAddr)>,
     pub run: Duration,
     /// Jobs whose tasks run for hours.
-    slow: Mutex<std::collections::BTreeSet<JobId>>,
+    slow: Mutex<BTreeSet<JobId>>,
     machines: Mutex<Vec<Arc<Mutex<Machine>>>>,
     requests: Mutex<HashMap<String, Vec<String>>>,
     /// Starts of each task, and whether any ran twice at a time.
@@ -50,6 +66,10 @@
     reported: Mutex<Vec<Vec<u8>>>,
     /// Commands get no answer and change nothing.
     pub no_commands: AtomicBool,
+    /// Machines that hang: they take connections, answer nothing and report nothing.
+    hanging: Mutex<BTreeSet<MachineId>>,
+    /// Commands on their way to them.
+    hanging_commands: AtomicUsize,
     /// Workers report nothing.
     pub mute: AtomicBool,
     /// Commands on their way at once, at the most.
@@ -70,6 +90,8 @@
             carried_out: Mutex::default(),
             reported: Mutex::default(),
             no_commands: AtomicBool::new(false),
+            hanging: Mutex::default(),
+            hanging_commands: AtomicUsize::new(0),
             mute: AtomicBool::new(false),
             most_at_once: Mutex::default(),
         })
@@ -154,6 +176,42 @@
         self.slow.lock().insert(job.parse().expect("an id"));
     }
 
+    /// These machines hang from now on.
+    pub fn hang(&self, machines: &[String]) {
+        let ids = machines.iter().map(|id| id.as_str().into());
+        self.hanging.lock().extend(ids);
+    }
+
+    fn hangs(&self, m: &Mutex<Machine>) -> bool {
+        let id = m.lock().id.clone();
+        self.hanging.lock().contains(&id)
+    }
+
+    /// How many commands wait for an answer of a machine that hangs.
+    pub fn hanging_commands(&self) -> usize {
+        self.hanging_commands.load(Ordering::Relaxed)
+    }
+
+    /// How often tasks of a job were started by a command that was carried out.
+    pub fn starts_of(&self, job: &str) -> usize {
+        let job: JobId = job.parse().expect("an id");
+        let carried_out = self.carried_out.lock();
+        let commands = carried_out.iter().flat_map(|(_, c)| &c.commands);
+        commands
+            .filter(|c| matches!(c, Command::Start { task, .. } if task.job == job))
+            .count()
+    }
+
+    /// Machines on which no task is.
+    pub fn empty_machines(&self) -> Vec<String> {
+        let all = self.machines.lock();
+        let empty = all
+            .iter()
+            .map(|m| m.lock())
+            .filter(|m| !m.gone && m.tasks.is_empty());
+        empty.map(|m| m.id.to_string()).collect()
+    }
+
     /// How many tasks run.
     pub fn running(&self) -> usize {
         let all = self.machines.lock();
@@ -192,6 +250,10 @@
             .and(with)
             .then(
                 |b: Commands, (c, m): (Arc<Cloud>, Arc<Mutex<Machine>>)| async move {
+                    if c.hangs(&m) {
+                        let _counted = Counted::new(&c.hanging_commands);
+                        sleep(Duration::from_secs(3600)).await;
+                    }
                     {
                         let mut n = c.most_at_once.lock();
                         n.0 += 1;
@@ -281,7 +343,7 @@
         let mut at = 0;
         loop {
             sleep(Duration::from_millis(150)).await;
-            if self.mute.load(Ordering::Relaxed) {
+            if self.mute.load(Ordering::Relaxed) || self.hangs(&m) {
                 continue;
             }
             let body = {
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -7,6 +7,7 @@
 use bitternfold::core::dependencies::DependencyOutcome;
 use bitternfold::core::record::{FinalRecord, JobRecord};
 use bitternfold::core::store_plan::Write;
+use bitternfold::core::worker_reports::ReportOutcome;
 use bitternfold::core::Model;
 use bitternfold::wire::*;
 
@@ -83,6 +84,8 @@
     Release(usize),
     /// Commands and answers reach so many machines no more, or again.
     Unreachable(usize, bool),
+    /// Direct commands reach so many machines no more, or again; answers do.
+    HearsNoCommands(usize, bool),
     /// Reports of so many machines arrive nowhere, or again.
     Mute(usize, bool),
     /// A job is called off at the very moment at which all tasks on a machine
@@ -218,7 +221,8 @@
     pub fn deliver(&mut self, m: Message) {
         match m {
             Message::Command { to, commands, term } => {
-                let Some(w) = self.worker(&to).filter(|w| w.alive && !w.unreachable) else {
+                let hears = |w: &&mut Worker| w.alive && !w.unreachable && !w.hears_no_commands;
+                let Some(w) = self.worker(&to).filter(hears) else {
                     self.mail.push(Message::Answer {
                         from: to,
                         report: None,
@@ -242,9 +246,17 @@
                 self.model.commanded(&from, report.as_ref(), self.now);
             }
             Message::Report(r, sent) => {
-                self.model.apply_report(&r, self.now);
+                let outcome = self.model.apply_report(&r, self.now);
+                let known = self.model.machines.get(&r.machine);
+                let over = known.is_none_or(|m| m.newest.0 != r.session || m.session_over(r.session));
+                match outcome {
+                    ReportOutcome::MachineGone => return,
+                    ReportOutcome::Outdated if over => return,
+                    ReportOutcome::Outdated | ReportOutcome::Applied => {}
+                }
                 if let Some((token, mut orders)) = self.model.reply(&r.machine, r.token, self.now) {
                     orders.extend(self.model.stops(&r));
+                    self.renews_nothing_unknown(&r, &orders);
                     self.mail.push(Message::Reply {
                         to: r.machine,
                         session: r.session,
@@ -316,7 +328,8 @@
                 let _ = self.model.reply(&r.machine, r.token, self.now);
             }
             Message::Command { to, commands, .. } => {
-                if let Some(w) = self.worker(&to).filter(|w| w.alive && !w.unreachable) {
+                let hears = |w: &&mut Worker| w.alive && !w.unreachable && !w.hears_no_commands;
+                if let Some(w) = self.worker(&to).filter(hears) {
                     for t in w.run(&commands) {
                         self.no_double(t);
                     }
@@ -364,6 +377,28 @@
         }
     }
 
+    /// An answer that renews a worker's lease lets no task live on that the leader
+    /// doesn't know of, wants gone at once, or whose job is over or cancelled: a
+    /// direct command may never reach that worker.
+    pub fn renews_nothing_unknown(&self, r: &Report, orders: &[Command]) {
+        let slots = &self.model.machines[&r.machine].slots;
+        for t in r.tasks.iter().filter(|t| t.state != TaskState::Exited) {
+            let slot = slots.get(&t.task).filter(|slot| slot.attempt == t.attempt);
+            let wanted = slot.is_some();
+            let open = self.model.jobs.get(&t.task.job).is_some_and(|j| !j.cancelled);
+            let stopped = orders.iter().any(
+                |o| matches!(o, Command::Stop { task, attempt, .. } if *task == t.task && *attempt == t.attempt),
+            );
+            assert!(
+                wanted && open || stopped,
+                "{} attempt {} lives on with the answer to {}",
+                t.task,
+                t.attempt,
+                r.machine
+            );
+        }
+    }
+
     /// Whether what is stored says that a job is cancelled, by itself or with a
     /// job that it needs: the plain rule, walked anew each time.
     pub fn is_cancelled(&self, id: JobId) -> bool {
@@ -660,6 +695,11 @@
                     w.unreachable = unreachable;
                 }
             }
+            Op::HearsNoCommands(many, deaf) => {
+                for w in self.workers.iter_mut().take(many % n + 1) {
+                    w.hears_no_commands = deaf;
+                }
+            }
             Op::Reboot(i, renewed) => {
                 let w = &mut self.workers[i % n];
                 w.tasks.clear();
--- a/tests/support/state_service.rs
+++ b/tests/support/state_service.rs
@@ -167,6 +167,13 @@
         self.0.lock().keys.get(key).map(|k| k.0.clone())
     }
 
+    /// Whether the write-ahead log names this.
+    pub fn log_names(&self, what: &str) -> bool {
+        let data = self.0.lock();
+        let mut log = data.keys.iter().filter(|(key, _)| key.starts_with("wal/"));
+        log.any(|(_, (value, ..))| value.to_string().contains(what))
+    }
+
     /// Whether a key exists.
     pub fn has(&self, key: &str) -> bool {
         self.0.lock().keys.contains_key(key)
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -20,6 +20,8 @@
     pub alive: bool,
     /// Its reports arrive, but answers and commands don't reach it.
     pub unreachable: bool,
+    /// Answers to its reports reach it, but direct commands don't.
+    pub hears_no_commands: bool,
     /// Its last answered report was sent then; its lease runs from there.
     pub renewed: Instant,
 }
@@ -36,6 +38,7 @@
             tasks: BTreeMap::new(),
             alive: true,
             unreachable: false,
+            hears_no_commands: false,
             renewed: now,
         }
     }
