Authority: bounded by the time of day, too, where the steady clock stood still

Cause: a right that had lapsed, asked of a clock that had lost the time. A leader that stands still together with its steady clock and wakes alone with some workers renewed their leases for its grace from when it woke, whatever another had confirmed meanwhile. Ruled out: longer margins (no bound on the pause), renewals only after a confirmation (ends all leases in an outage).

--- a/src/leader/active_leader.rs
+++ b/src/leader/active_leader.rs
@@ -19,10 +19,10 @@
 use tracing::{debug, info};
 
 use super::redirects::RedirectHistory;
-use crate::core::authority::Authority;
+use crate::core::authority::{Authority, AuthorityLimits, ClockReading};
 use crate::core::record::{self};
 use crate::core::Model;
-use crate::node::{Node, Role};
+use crate::node::{read_clocks, Node, Role};
 use crate::store::writer::Writer;
 use crate::store::StoreError;
 
@@ -59,22 +59,23 @@
 
 impl ActiveLeader {
     /// A term that was just won by a request sent at `sent`.
-    pub fn new(node: Arc<Node>, term: u64, lease: u64, sent: Instant) -> Arc<Self> {
+    pub fn new(node: Arc<Node>, term: u64, lease: u64, sent: ClockReading) -> Arc<Self> {
         let most = node.config.txn_ops;
         let writer = Writer::new(node.store.clone(), record::LEADER, term, most);
         let model = Model::new(node.config.clone(), term);
         let workers = &node.platform.params.workers;
+        let limits = AuthorityLimits {
+            lease: node.tuning.leader_lease,
+            worker_lease: workers.lease,
+            cancel: workers.cancel,
+            clock_error: node.platform.params.clock_error,
+        };
         Arc::new(Self {
             term,
             lease,
             model: Mutex::new(model),
             writer,
-            authority: Mutex::new(Authority::new(
-                node.tuning.leader_lease,
-                workers.lease,
-                workers.cancel,
-                sent,
-            )),
+            authority: Mutex::new(Authority::new(&limits, sent)),
             renewals: AtomicU64::new(0),
             renewed: watch::Sender::new((0, false)),
             wanted: Notify::new(),
@@ -100,14 +101,14 @@
         self.loaded.load(Ordering::Relaxed)
             && !self.over.load(Ordering::Relaxed)
             && !self.writer.is_over()
-            && self.authority.lock().may_act(Instant::now())
+            && self.authority.lock().may_act(read_clocks())
     }
 
     /// Whether reports may still be answered, see [`Authority::may_renew_leases`].
     fn may_renew_leases(&self) -> bool {
         self.loaded.load(Ordering::Relaxed)
             && !self.over.load(Ordering::Relaxed)
-            && self.authority.lock().may_renew_leases(Instant::now())
+            && self.authority.lock().may_renew_leases(read_clocks())
     }
 
     /// Ends the term here.
@@ -174,7 +175,7 @@
         let life = self.node.tuning.leader_lease;
         let spacing = Duration::from_secs_f64(1.0 / (self.node.platform.params.state.rps * CONFIRMING));
         loop {
-            let sent = Instant::now();
+            let sent = read_clocks();
             let number = self.renewals.fetch_add(1, Ordering::Relaxed) + 1;
             let wait = match self.node.store.renew_lease(self.lease, life / 3).await {
                 Ok(()) => {
@@ -194,7 +195,7 @@
             };
             // Sooner if somebody waits for it, within a share of the requests.
             let _ = timeout(wait, self.wanted.notified()).await;
-            sleep(spacing.min(wait).saturating_sub(sent.elapsed())).await;
+            sleep(spacing.min(wait).saturating_sub(sent.steady.elapsed())).await;
         }
     }
 
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::api::Patience;
 use crate::core::record::{LeaderRecord, LEADER};
-use crate::node::{Node, Role};
+use crate::node::{read_clocks, Node, Role};
 use crate::settings::{Platform, Tuning};
 use crate::stall::TICK;
 use crate::store::StoreError;
@@ -114,7 +114,7 @@
 /// Stands for election, and leads if elected.
 async fn run_for_leader(node: &Arc<Node>, version: u64) {
     let life = node.tuning.leader_lease;
-    let sent = Instant::now();
+    let sent = read_clocks();
     let lease = match node.store.grant_lease(life).await {
         Ok(l) => l,
         Err(e) => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use tracing::info;
 
 use crate::cloud::Cloud;
+use crate::core::authority::ClockReading;
 use crate::core::Config;
 use crate::http::Http;
 use crate::job_lookup::Finals;
@@ -81,6 +82,14 @@
         .as_millis() as u64
 }
 
+/// Both clocks of this process.
+pub fn read_clocks() -> ClockReading {
+    ClockReading {
+        steady: Instant::now(),
+        time_of_day: SystemTime::now(),
+    }
+}
+
 impl Node {
     /// A controller that is not running yet.
     pub fn new(platform: Platform, tuning: Tuning) -> Arc<Self> {
--- a/tests/gap.rs
+++ b/tests/gap.rs
@@ -10,9 +10,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
-use bitternfold::core::authority::{Authority, MARGIN};
+use bitternfold::core::authority::{Authority, AuthorityLimits, ClockReading, MARGIN};
 use bitternfold::core::record::JobRecord;
 use bitternfold::core::store_plan::Write;
 use bitternfold::core::Config;
@@ -52,6 +52,8 @@
     hang: f64,
     /// Whether the controller's steady clock stands still with it.
     stops_clock: bool,
+    /// Error of the time of day.
+    clock_error: f64,
 }
 
 fn any_times() -> impl Strategy<Value = Times> {
@@ -59,9 +61,15 @@
     let trouble = (0.2..14.0f64, -3.0..14.0f64, 5.0..150.0f64);
     // Often enough the new leader reaches no worker at all.
     let lost = prop_oneof![0.0..1.0f64, Just(1.0)];
-    let net = (lost, 0.0..90.0f64, any::<bool>(), 0.0..40.0f64, 0.0..40.0f64);
-    (site, trouble, net).prop_map(
-        |((report, lease, spare, hold), (apart, asked, outage), (lost, held, peers, freeze, hang))| Times {
+    let net = (lost, 0.0..90.0f64, any::<bool>());
+    let still = (0.0..40.0f64, 0.0..40.0f64, 0.0..1.2f64);
+    (site, trouble, net, still).prop_map(
+        |(
+            (report, lease, spare, hold),
+            (apart, asked, outage),
+            (lost, held, peers),
+            (freeze, hang, clock_error),
+        )| Times {
             report: report.min(lease / 3.0),
             lease,
             spare,
@@ -75,6 +83,7 @@
             freeze,
             hang,
             stops_clock: false,
+            clock_error,
         },
     )
 }
@@ -120,6 +129,8 @@
     config: Arc<Config>,
     base: Instant,
     now: Duration,
+    /// Error of the time of day.
+    clock_error: Duration,
     /// Clocks of controllers, workers and the state service.
     drift: Vec<f64>,
     leaders: [Option<Leader>; 3],
@@ -150,6 +161,7 @@
         w.cancel = w.lease + MARGIN + Duration::from_secs_f64(times.spare);
         let base = start();
         Self {
+            clock_error: Duration::from_secs_f64(times.clock_error),
             drift: (0..8).map(|_| rng.random_range(-0.0005..0.0005)).collect(),
             rng,
             config: Arc::new(Config::new(&platform, Tuning::default())),
@@ -180,6 +192,16 @@
         self.base + (self.now - stood).mul_f64(1.0 + self.drift[who])
     }
 
+    /// Both clocks of a controller. The time of day wanders within its error.
+    fn clocks(&mut self, who: usize) -> ClockReading {
+        let error = self.clock_error.as_secs_f64();
+        let off = self.rng.random_range(0.0..=2.0 * error);
+        ClockReading {
+            steady: self.clock(who),
+            time_of_day: SystemTime::UNIX_EPOCH + self.now + Duration::from_secs_f64(off),
+        }
+    }
+
     /// Whether the state service answers a controller; ends leases that are over.
     fn state(&mut self, who: usize) -> bool {
         if self.out {
@@ -210,11 +232,16 @@
             assert!(model.log.load(*n, v.clone()));
         }
         model.load_log(now);
-        let hold = Duration::from_secs_f64(self.times.hold);
+        let limits = AuthorityLimits {
+            lease: Duration::from_secs_f64(self.times.hold),
+            worker_lease: self.config.lease,
+            cancel: self.config.cancel,
+            clock_error: self.clock_error,
+        };
         self.leaders[who] = Some(Leader {
             term: self.term,
             model,
-            authority: Authority::new(hold, self.config.lease, self.config.cancel, now),
+            authority: Authority::new(&limits, self.clocks(who)),
             over: false,
             touched: now,
             writes: Vec::new(),
@@ -230,6 +257,7 @@
             return self.stand(who);
         };
         let now = self.clock(who);
+        let clocks = self.clocks(who);
         if self.times.peers {
             // A message of a newer term ends an older one.
             l.over |= self.leaders.iter().flatten().any(|o| o.term > l.term);
@@ -240,7 +268,7 @@
             l.touched = now;
             if holds {
                 self.held = Some((who, self.clock(7) + Duration::from_secs_f64(self.times.hold)));
-                l.authority.renewed(now);
+                l.authority.renewed(clocks);
             } else {
                 l.over = true;
             }
@@ -252,7 +280,7 @@
             self.leaders[who] = Some(l);
             return;
         }
-        if l.authority.may_act(now) {
+        if l.authority.may_act(clocks) {
             l.model.clear_lapsed(now);
             l.model.plan(now);
             l.writes.extend(l.model.take_writes(now));
@@ -322,9 +350,10 @@
             return;
         };
         let now = self.clock(who);
+        let clocks = self.clocks(who);
         if let Some(l) = self.leaders[who]
             .as_mut()
-            .filter(|l| !l.over && l.authority.may_act(now) && !l.cancelled)
+            .filter(|l| !l.over && l.authority.may_act(clocks) && !l.cancelled)
         {
             let ids: Vec<JobId> = l.model.jobs.keys().copied().collect();
             ids.into_iter().for_each(|id| l.model.cancel(id, now));
@@ -348,13 +377,14 @@
         }
         for who in asked {
             let now = self.clock(who);
+            let clocks = self.clocks(who);
             if self.stands_still(who) {
                 break;
             }
             let Some(l) = self.leaders[who].as_mut().filter(|l| !l.over) else {
                 continue;
             };
-            if !l.authority.may_renew_leases(now) {
+            if !l.authority.may_renew_leases(clocks) {
                 continue;
             }
             l.model.apply_report(&r, now);
@@ -362,7 +392,7 @@
                 l.over = true;
                 continue;
             };
-            if !l.authority.may_act(now) {
+            if !l.authority.may_act(clocks) {
                 orders.clear();
             }
             orders.extend(l.model.stops(&r));
@@ -570,27 +600,52 @@
         drift in -0.0005..0.0005f64,
         other in -0.0005..0.0005f64,
         asked in 0.0..300.0f64,
+        stood in 0.0..300.0f64,
+        error in 0.0..1.5f64,
+        off in -1.0..1.0f64,
     ) {
         let (hold, lease) = (Duration::from_secs_f64(hold), Duration::from_secs_f64(lease));
         let cancel = lease + MARGIN + Duration::from_secs_f64(spare);
         let sent = start();
-        let mut a = Authority::new(hold, lease, cancel, sent);
+        let clock_error = Duration::from_secs_f64(error);
+        let limits = AuthorityLimits { lease: hold, worker_lease: lease, cancel, clock_error };
+        let day = SystemTime::UNIX_EPOCH + secs(1000);
+        let mut a = Authority::new(&limits, ClockReading { steady: sent, time_of_day: day });
         let t = Duration::from_secs_f64(asked);
-        let (mine, theirs) = (sent + t.mul_f64(1.0 + drift), sent + t.mul_f64(1.0 + other));
-        prop_assert!(!a.may_act(mine) || theirs < sent + hold);
+        // Its steady clock may have stood still for a part of that; its time of
+        // day is off by the error, then and now.
+        let stood = Duration::from_secs_f64(stood).min(t);
+        let read = |steady: Duration| ClockReading {
+            steady: sent + steady.mul_f64(1.0 + drift),
+            time_of_day: (day + t).checked_add(clock_error.mul_f64(1.0 + off)).expect("a time")
+                - clock_error.mul_f64(1.0 - off),
+        };
+        let (running, paused, theirs) = (read(t), read(t - stood), sent + t.mul_f64(1.0 + other));
+        prop_assert!(!a.may_act(running) || theirs < sent + hold);
+        prop_assert!(!a.may_act(paused) || t < hold + clock_error * 4);
         // A worker whose lease was renewed at the last moment loses it in time
         // for whoever was elected as soon as that was possible.
         let gone = t + lease.mul_f64(1.0006);
         let promised = hold.mul_f64(0.9995) + cancel;
-        prop_assert!(!a.may_renew_leases(mine) || gone <= promised, "{gone:?} {promised:?}");
+        for now in [running, paused] {
+            prop_assert!(!a.may_renew_leases(now) || gone <= promised, "{gone:?} {promised:?}");
+        }
+        // A clock that runs is never taken for one that stood still.
+        let whole = hold.mul_f64(0.998).saturating_sub(Duration::from_millis(51));
+        prop_assert!(a.may_act(running) || t >= whole);
         // One that stood still renews nothing past its authority before the state
         // service has answered a renewal that was sent after it woke.
-        a.woke(mine);
-        prop_assert!(!a.may_renew_leases(mine));
-        a.renewed(mine - Duration::from_millis(1));
-        prop_assert!(!a.may_renew_leases(mine));
-        a.renewed(mine + Duration::from_millis(1));
-        prop_assert!(a.may_renew_leases(mine + Duration::from_millis(2)));
+        let later = |millis: i64| {
+            let by = Duration::from_millis(millis.unsigned_abs());
+            let steady = if millis < 0 { running.steady - by } else { running.steady + by };
+            ClockReading { steady, ..running }
+        };
+        a.woke(running.steady);
+        prop_assert!(!a.may_renew_leases(running));
+        a.renewed(later(-1));
+        prop_assert!(!a.may_renew_leases(running));
+        a.renewed(later(1));
+        prop_assert!(a.may_renew_leases(later(2)));
     }
 }
 
