Commands are judged again when they are handed over; only that judgement permits sending

Cause: an action on stale knowledge. Seen to fail with the judgement of starts taken out. Before: one start after the confirmation in the test; after: none.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod liveness;
 pub mod machine;
 pub mod model;
+pub mod permission;
 mod placement;
 pub mod plan;
 pub mod probation;
--- /dev/null
+++ b/src/core/permission.rs
@@ -0,0 +1,115 @@
+//! Whether a command may still be sent.
+//!
+//! A command is decided in a scheduling round and handed over later: it may wait
+//! for a socket behind machines that hang. What it was decided on is old by then,
+//! so it is judged again at the moment of sending. Only the answer here makes the
+//! [`SendPermit`] that sending takes.
+
+use std::collections::BTreeMap;
+
+use super::dependencies::Dependencies;
+use super::job::Job;
+use super::machine::Phase;
+use super::model::Model;
+use crate::wire::{Command, Commands, JobId, MachineId, TaskId};
+
+/// The right to send one command now. It is made here alone.
+#[derive(Debug)]
+pub struct SendPermit(());
+
+impl SendPermit {
+    /// Uses the permit up.
+    pub fn spend(self) {}
+}
+
+/// Why a task may not be started. What is not known is never taken for allowed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum StartRefusal {
+    /// No such unfinished job is known.
+    #[error("its job is not known")]
+    JobUnknown,
+    /// The job is cancelled, or its cancellation is on its way.
+    #[error("its job is cancelled")]
+    JobCancelled,
+    /// A job that it needs is not known to be done.
+    #[error("its job waits for others")]
+    JobWaits,
+    /// The task has no place on that machine, or another attempt has.
+    #[error("it has no place there")]
+    NotPlaced,
+    /// It is to be stopped there.
+    #[error("it is to be stopped")]
+    Stopping,
+}
+
+/// Why a command is not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Withheld {
+    /// The right to act has ended.
+    #[error("the right to act has ended")]
+    NoAuthority,
+    /// It would start a task that may not be started any more.
+    #[error("{0} may not be started: {1}")]
+    Start(TaskId, StartRefusal),
+}
+
+/// Whether a job's tasks may be started as far as the job goes.
+pub(super) fn check_job(
+    jobs: &BTreeMap<JobId, Job>,
+    dependencies: &Dependencies,
+    id: JobId,
+) -> Result<(), StartRefusal> {
+    let job = jobs.get(&id).ok_or(StartRefusal::JobUnknown)?;
+    if job.cancelled {
+        return Err(StartRefusal::JobCancelled);
+    }
+    if !dependencies.is_ready(id) {
+        return Err(StartRefusal::JobWaits);
+    }
+    Ok(())
+}
+
+impl Model {
+    /// Judges a command that was decided earlier by what is known now; `may_act`
+    /// says whether the leader still has the right to.
+    pub fn permit_send(
+        &self,
+        machine: &MachineId,
+        commands: &Commands,
+        may_act: bool,
+    ) -> Result<SendPermit, Withheld> {
+        if !may_act {
+            return Err(Withheld::NoAuthority);
+        }
+        for command in &commands.commands {
+            if let Command::Start { task, attempt } = *command {
+                self.check_start(machine, task, attempt)
+                    .map_err(|refusal| Withheld::Start(task, refusal))?;
+            }
+        }
+        Ok(SendPermit(()))
+    }
+
+    /// Whether an attempt that was placed may be started now.
+    fn check_start(&self, machine: &MachineId, task: TaskId, attempt: u64) -> Result<(), StartRefusal> {
+        check_job(&self.jobs, &self.dependencies, task.job)?;
+        let machine = self.machines.get(machine).filter(|m| m.phase != Phase::Releasing);
+        let slot = machine.and_then(|m| m.slots.get(&task));
+        let slot = slot
+            .filter(|s| s.attempt == attempt)
+            .ok_or(StartRefusal::NotPlaced)?;
+        if slot.stop.is_some() {
+            return Err(StartRefusal::Stopping);
+        }
+        Ok(())
+    }
+
+    /// A command was not sent after all: nothing is in doubt, and another may be
+    /// due at once.
+    pub fn command_withheld(&mut self, machine: &MachineId) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.commanding = false;
+            self.due.insert(machine.clone());
+        }
+    }
+}
--- a/src/core/worker_commands.rs
+++ b/src/core/worker_commands.rs
@@ -4,6 +4,7 @@
 
 use super::machine::{Machine, Phase, TOKEN_BITS};
 use super::model::{Model, EPS};
+use super::permission::check_job;
 use super::slot::SlotState;
 use crate::wire::{Command, Commands, MachineId, Report, TaskState};
 
@@ -150,7 +151,7 @@
             }
             let Some(s) = &slot.spec else { continue };
             // Asked once more here, whatever led to the placement.
-            if jobs.get(&task.job).is_none_or(|j| j.cancelled) || !dependencies.is_ready(task.job) {
+            if check_job(jobs, dependencies, task.job).is_err() {
                 continue;
             }
             if slot.start_token == 0 {
--- a/src/leader/active_leader/scheduling_loop.rs
+++ b/src/leader/active_leader/scheduling_loop.rs
@@ -10,6 +10,7 @@
 use crate::core::store_plan::Write;
 use crate::core::wal::Append;
 use crate::store::writer::{CommitError, Unit};
+use crate::wire::{Commands, MachineId};
 use crate::worker::{self, Commanded};
 
 use super::ActiveLeader;
@@ -60,22 +61,41 @@
         }
         for (id, addr, c) in commands {
             let active_leader = self.clone();
-            tokio::spawn(async move {
-                let sockets = &active_leader.node.sockets;
-                let outcome = worker::command(sockets, &addr, &c, || active_leader.may_act()).await;
-                let report = match &outcome {
-                    Commanded::Done(r) | Commanded::Refused(r) => Some(r),
-                    Commanded::Unknown => None,
-                };
-                if let Commanded::Refused(r) = &outcome {
-                    debug!(machine = %id, token = c.token, seen = r.token, session = r.session, "command refused");
-                }
-                active_leader.model.lock().commanded(&id, report, Instant::now());
-                active_leader.wake.notify_one();
-            });
+            tokio::spawn(async move { active_leader.send_command(&id, &addr, &c).await });
         }
     }
 
+    /// Sends a command that a round decided. What it was decided on is asked for
+    /// again when it is handed over, as it may have waited for a socket.
+    async fn send_command(&self, id: &MachineId, addr: &str, commands: &Commands) {
+        let permit = || {
+            let may_act = self.may_act();
+            self.model.lock().permit_send(id, commands, may_act)
+        };
+        let outcome = worker::command(&self.node.sockets, addr, commands, permit).await;
+        let report = match &outcome {
+            Commanded::Done(r) | Commanded::Refused(r) => Some(r),
+            Commanded::Unknown | Commanded::Withheld(_) => None,
+        };
+        match &outcome {
+            Commanded::Refused(r) => {
+                debug!(machine = %id, token = commands.token, seen = r.token, session = r.session, "command refused");
+            }
+            Commanded::Withheld(why) => {
+                info!(machine = %id, token = commands.token, %why, "command withheld");
+            }
+            Commanded::Done(_) | Commanded::Unknown => {}
+        }
+        let mut model = self.model.lock();
+        if matches!(outcome, Commanded::Withheld(_)) {
+            model.command_withheld(id);
+        } else {
+            model.commanded(id, report, Instant::now());
+        }
+        drop(model);
+        self.wake.notify_one();
+    }
+
     /// Stores an append that is refused whole, one segment after the other: the
     /// state service may take fewer changes at once than was announced. What is
     /// deleted comes last, so that the log never names less than is there.
--- a/tests/withheld.rs
+++ b/tests/withheld.rs
@@ -9,6 +9,10 @@
 
 use std::time::{Duration, Instant};
 
+use bitternfold::core::machine::Phase;
+use bitternfold::core::permission::{StartRefusal, Withheld};
+use bitternfold::core::Model;
+use bitternfold::wire::{Commands, JobId, MachineId, TaskId};
 use site::{job_name, on_loopback, Site, LONG};
 use tokio::time::sleep;
 
@@ -82,3 +86,100 @@
         assert_eq!(started, started_before, "a task of a cancelled job was started");
     });
 }
+
+/// A start that a round has decided, and that waits to be sent.
+struct Waiting {
+    model: Model,
+    machine: MachineId,
+    task: TaskId,
+    commands: Commands,
+    now: Instant,
+}
+
+impl Waiting {
+    fn new() -> Self {
+        let now = support::start();
+        let mut model = support::model(7);
+        let machine = MachineId::from("i-1");
+        model.apply_report(&support::report("i-1", "small", "north", false, 7, 1), now);
+        let record = support::record(support::job(1, 1, 4.0));
+        let job: JobId = record.spec.id;
+        model.add_job(record, now);
+        model.plan(now);
+        let writes = model.take_writes(now);
+        writes.iter().for_each(|w| model.written(w, true, now));
+        let (_, commands) = model.command(&machine, now).expect("the start");
+        let task = TaskId { job, index: 0 };
+        Self {
+            model,
+            machine,
+            task,
+            commands,
+            now,
+        }
+    }
+
+    fn judged(&self) -> Option<Withheld> {
+        let permit = self.model.permit_send(&self.machine, &self.commands, true);
+        permit.err()
+    }
+
+    fn refused_for(&self, refusal: StartRefusal) {
+        assert_eq!(self.judged(), Some(Withheld::Start(self.task, refusal)));
+    }
+}
+
+#[test]
+fn a_start_is_judged_by_what_is_known_when_it_is_sent() {
+    let waiting = Waiting::new();
+    assert_eq!(waiting.judged(), None);
+    let lapsed = waiting
+        .model
+        .permit_send(&waiting.machine, &waiting.commands, false);
+    assert_eq!(lapsed.err(), Some(Withheld::NoAuthority));
+
+    let mut waiting = Waiting::new();
+    waiting.model.cancel(waiting.task.job, waiting.now);
+    waiting.refused_for(StartRefusal::JobCancelled);
+
+    let mut waiting = Waiting::new();
+    waiting.model.remove_job(waiting.task.job);
+    waiting.refused_for(StartRefusal::JobUnknown);
+
+    let mut waiting = Waiting::new();
+    let grace = Duration::from_secs(5);
+    waiting
+        .model
+        .stop(&waiting.machine, waiting.task, grace, waiting.now, "preempted");
+    waiting.refused_for(StartRefusal::Stopping);
+
+    let mut waiting = Waiting::new();
+    waiting.model.released(&waiting.machine, waiting.now);
+    waiting.refused_for(StartRefusal::NotPlaced);
+
+    let mut waiting = Waiting::new();
+    let machine = waiting.model.machines.get_mut(&waiting.machine).expect("there");
+    machine.phase = Phase::Releasing;
+    waiting.refused_for(StartRefusal::NotPlaced);
+
+    let mut waiting = Waiting::new();
+    let machine = waiting.model.machines.get_mut(&waiting.machine).expect("there");
+    machine.slots.get_mut(&waiting.task).expect("placed").attempt += 1;
+    waiting.refused_for(StartRefusal::NotPlaced);
+}
+
+#[test]
+fn what_was_withheld_is_decided_anew_at_once() {
+    let mut waiting = Waiting::new();
+    assert!(waiting.model.command(&waiting.machine, waiting.now).is_none());
+    waiting.model.command_withheld(&waiting.machine);
+    let (_, again) = waiting
+        .model
+        .command(&waiting.machine, waiting.now)
+        .expect("the start anew");
+    assert!(
+        again.token > waiting.commands.token,
+        "every command has a fresh token"
+    );
+    assert_eq!(again.commands, waiting.commands.commands);
+}
