Invariants: a task that runs unknown is an error line; the right to act is logged as it changes

No change of behaviour. A report of a machine that obeys this term lists nothing that the model has no place for; the generated cluster asserts it with each answer, and the log would tell next time. Each change of the right to act is logged with the time since the last renewal by both clocks.

--- a/src/core/authority.rs
+++ b/src/core/authority.rs
@@ -98,7 +98,7 @@
 
     /// How long ago the last successful renewal was sent, by the clock that has
     /// gone further.
-    fn since_renewal(&self, now: ClockReading) -> Duration {
+    pub fn since_renewal(&self, now: ClockReading) -> Duration {
         let steady = now.steady.saturating_duration_since(self.renewal_sent.steady);
         let time_of_day = now.time_of_day.duration_since(self.renewal_sent.time_of_day);
         let at_least = time_of_day
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod dependencies;
 pub mod fleet;
+pub mod invariants;
 pub mod job;
 pub mod liveness;
 pub mod machine;
--- a/src/leader/active_leader/report_routing.rs
+++ b/src/leader/active_leader/report_routing.rs
@@ -4,10 +4,11 @@
 use std::hash::{Hash, Hasher};
 use std::time::Instant;
 
-use tracing::info;
+use tracing::{error, info};
 
 use crate::core::machine::Phase;
 use crate::core::worker_reports::ReportOutcome;
+use crate::core::Model;
 use crate::node::Node;
 use crate::peer::Reply;
 use crate::wire::{MachineId, Report, ReportReply};
@@ -61,6 +62,9 @@
                 }
                 ReportOutcome::Outdated | ReportOutcome::Applied => {}
             }
+            if heard == ReportOutcome::Applied {
+                self.log_unknown_tasks(&m, &r);
+            }
             (heard, m.reply(&r.machine, r.token, now), m.stops(&r))
         };
         if heard == ReportOutcome::Applied {
@@ -87,6 +91,21 @@
         Reply::json(200, &ReportReply { token, commands })
     }
 
+    fn log_unknown_tasks(&self, model: &Model, r: &Report) {
+        for unknown in model.unknown_tasks(r) {
+            error!(
+                term = self.term,
+                machine = %r.machine,
+                task = %unknown.task,
+                attempt = unknown.attempt,
+                session = r.session,
+                seq = r.seq,
+                token = r.token,
+                "invariant violated: a task runs that is not known"
+            );
+        }
+    }
+
     /// The controller that a worker is to report to instead of `via`, if any.
     fn redirect(&self, machine: &MachineId, via: &str, now: Instant) -> Option<String> {
         if !self.redirects.lock().report_arrived(machine, via, now) {
--- a/src/leader/active_leader/scheduling_loop.rs
+++ b/src/leader/active_leader/scheduling_loop.rs
@@ -9,6 +9,7 @@
 use crate::core::record;
 use crate::core::store_plan::Write;
 use crate::core::wal::Append;
+use crate::node::read_clocks;
 use crate::store::writer::{CommitError, Unit};
 use crate::wire::{Commands, MachineId};
 use crate::worker::{self, Commanded};
@@ -22,13 +23,19 @@
 
 impl ActiveLeader {
     pub(super) async fn rounds(self: Arc<Self>) {
+        let mut acted = true;
         loop {
             let _ = timeout(Duration::from_millis(500), self.wake.notified()).await;
             self.node.check_for_stall();
             let began = Instant::now();
-            if self.may_act() {
+            let acts = self.may_act();
+            if acts {
                 self.round();
             }
+            if acts != acted {
+                acted = acts;
+                self.log_authority(acts);
+            }
             // A round that took long is followed by a longer pause, so that
             // users and workers are answered meanwhile.
             let pause = self.node.tuning.plan_pause;
@@ -65,6 +72,16 @@
         }
     }
 
+    fn log_authority(&self, acts: bool) {
+        let since_renewal = self.authority.lock().since_renewal(read_clocks());
+        info!(
+            term = self.term,
+            acts,
+            since_renewal_ms = since_renewal.as_millis() as u64,
+            "the right to act has changed"
+        );
+    }
+
     /// Sends a command that a round decided. What it was decided on is asked for
     /// again when it is handed over, as it may have waited for a socket.
     async fn send_command(&self, id: &MachineId, addr: &str, commands: &Commands) {
--- a/tests/safety.rs
+++ b/tests/safety.rs
@@ -447,3 +447,41 @@
     );
     assert!(next.machines.is_empty());
 }
+
+#[test]
+fn a_task_that_is_not_known_is_noticed() {
+    let now = start();
+    let mut m = model(7);
+    let id = MachineId::from("i-1");
+    m.apply_report(&report("i-1", "small", "north", false, 7, 1), now);
+    let rec = record(job(1, 1, 4.0));
+    let task = TaskId {
+        job: rec.spec.id,
+        index: 0,
+    };
+    m.add_job(rec, now);
+    m.plan(now);
+    let mut r = report("i-1", "small", "north", false, 7, 2);
+    r.tasks = running(&m, &id);
+    assert_eq!(m.unknown_tasks(&r).count(), 0);
+    // Another attempt than the one that was placed.
+    r.tasks[0].attempt += 1;
+    assert_eq!(m.unknown_tasks(&r).count(), 1);
+    r.tasks[0].attempt -= 1;
+    // Its place is gone, or its job.
+    let slot = m
+        .machines
+        .get_mut(&id)
+        .and_then(|x| x.slots.remove(&task))
+        .expect("placed");
+    assert_eq!(m.unknown_tasks(&r).count(), 1);
+    m.machines.get_mut(&id).expect("there").slots.insert(task, slot);
+    m.remove_job(task.job);
+    assert_eq!(m.unknown_tasks(&r).count(), 1);
+    // What has ended is no matter, nor what a machine says before it obeys.
+    r.tasks[0].state = TaskState::Exited;
+    assert_eq!(m.unknown_tasks(&r).count(), 0);
+    r.tasks[0].state = TaskState::Running;
+    m.term = 8;
+    assert_eq!(m.unknown_tasks(&r).count(), 0);
+}
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -381,6 +381,8 @@
     /// doesn't know of, wants gone at once, or whose job is over or cancelled: a
     /// direct command may never reach that worker.
     pub fn renews_nothing_unknown(&self, r: &Report, orders: &[Command]) {
+        let unknown: Vec<_> = self.model.unknown_tasks(r).collect();
+        assert!(unknown.is_empty(), "{unknown:?} run on {} unknown", r.machine);
         let slots = &self.model.machines[&r.machine].slots;
         for t in r.tasks.iter().filter(|t| t.state != TaskState::Exited) {
             let slot = slots.get(&t.task).filter(|slot| slot.attempt == t.attempt);
--- a/tests/withheld.rs
+++ b/tests/withheld.rs
@@ -12,7 +12,7 @@
 use bitternfold::core::machine::Phase;
 use bitternfold::core::permission::{StartRefusal, Withheld};
 use bitternfold::core::Model;
-use bitternfold::wire::{Commands, JobId, MachineId, TaskId};
+use bitternfold::wire::{Command, Commands, JobId, MachineId, TaskId};
 use site::{job_name, on_loopback, Site, LONG};
 use tokio::time::sleep;
 
@@ -146,6 +146,19 @@
     waiting.model.remove_job(waiting.task.job);
     waiting.refused_for(StartRefusal::JobUnknown);
 
+    // A job that waits for another; whoever decided its start was wrong.
+    let mut waiting = Waiting::new();
+    let mut dependent = support::job(2, 1, 4.0);
+    dependent.awaits = vec![waiting.task.job];
+    waiting.task.job = dependent.id;
+    waiting.model.add_job(support::record(dependent), waiting.now);
+    let start = Command::Start {
+        task: waiting.task,
+        attempt: 1,
+    };
+    waiting.commands.commands = vec![start];
+    waiting.refused_for(StartRefusal::JobWaits);
+
     let mut waiting = Waiting::new();
     let grace = Duration::from_secs(5);
     waiting
