--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -28,12 +28,38 @@
     addr: String,
     zone: String,
     spot: bool,
+    session: u64,
     seq: u64,
     token: u64,
     tasks: BTreeMap<TaskId, Task>,
+    /// Its last answered report was sent then.
+    renewed: Instant,
     gone: bool,
 }
 
+/// Something that a machine did.
+#[derive(Debug, Clone)]
+pub struct TaskEvent {
+    pub at: Instant,
+    pub task: TaskId,
+    pub machine: String,
+    pub zone: String,
+    pub what: TaskChange,
+}
+
+/// What became of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskChange {
+    Started,
+    /// It is there no more; whether it had completed.
+    Ended {
+        done: bool,
+    },
+}
+
+/// How long a worker waits for an answer to a report.
+const REPORT_PATIENCE: Duration = Duration::from_secs(4);
+
 /// One more of something, for as long as it lives.
 struct Counted<'a>(&'a AtomicUsize);
 
@@ -66,6 +92,13 @@
     reported: Mutex<Vec<Vec<u8>>>,
     /// Commands get no answer and change nothing.
     pub no_commands: AtomicBool,
+    /// Life of the workers' leases; none: they last for ever.
+    lease: Mutex<Option<Duration>>,
+    /// All that was started and ended.
+    events: Mutex<Vec<TaskEvent>>,
+    /// Controllers that no worker reaches, and the delay of a copy of each report.
+    pub unreachable: Mutex<BTreeSet<usize>>,
+    pub late_copies: Mutex<Option<Duration>>,
     /// Machines that hang: they take connections, answer nothing and report nothing.
     hanging: Mutex<BTreeSet<MachineId>>,
     /// Commands on their way to them.
@@ -90,6 +123,10 @@
             carried_out: Mutex::default(),
             reported: Mutex::default(),
             no_commands: AtomicBool::new(false),
+            lease: Mutex::default(),
+            events: Mutex::default(),
+            unreachable: Mutex::default(),
+            late_copies: Mutex::default(),
             hanging: Mutex::default(),
             hanging_commands: AtomicUsize::new(0),
             mute: AtomicBool::new(false),
@@ -133,7 +170,10 @@
             .map(|r: Machines, c: Arc<Cloud>| {
                 for m in c.machines.lock().iter() {
                     let mut m = m.lock();
-                    m.gone |= r.machines.contains(&m.id);
+                    if r.machines.contains(&m.id) && !m.gone {
+                        m.gone = true;
+                        c.end_all(&mut m);
+                    }
                 }
                 answer((200, json!({})))
             });
@@ -237,9 +277,11 @@
             addr: String::new(),
             zone: zone.to_owned(),
             spot,
+            session: 1,
             seq: 0,
             token: 0,
             tasks: BTreeMap::new(),
+            renewed: Instant::now(),
             gone: false,
         }));
         let (c, m) = (self.clone(), machine.clone());
@@ -277,7 +319,7 @@
         if m.gone || self.no_commands.load(Ordering::Relaxed) {
             return (500, json!({}));
         }
-        let ok = b.token >= m.token && b.session == 1;
+        let ok = b.token >= m.token && b.session == m.session;
         if ok {
             m.token = b.token;
             self.carried_out.lock().push((m.id.clone(), b.clone()));
@@ -298,6 +340,7 @@
                     return;
                 }
                 *self.starts.lock() += 1;
+                self.note(m, task, TaskChange::Started);
                 let slow = self.slow.lock().contains(&task.job);
                 let run = if slow { Duration::from_secs(7200) } else { self.run };
                 let until = Instant::now() + run;
@@ -324,10 +367,10 @@
                 }
             }
             Command::Stop { task, attempt, .. } => {
-                if let Some(t) = m.tasks.get_mut(&task) {
-                    if t.attempt == attempt && t.state != TaskState::Exited {
-                        (t.state, t.why) = (TaskState::Exited, Some(Why::Stopped));
-                    }
+                let live = |t: &&mut Task| t.attempt == attempt && t.state != TaskState::Exited;
+                if let Some(t) = m.tasks.get_mut(&task).filter(live) {
+                    (t.state, t.why) = (TaskState::Exited, Some(Why::Stopped));
+                    self.note(m, task, TaskChange::Ended { done: false });
                 }
             }
             Command::Forget { task, attempt } => {
@@ -338,28 +381,102 @@
         }
     }
 
+    fn note(&self, m: &Machine, task: TaskId, what: TaskChange) {
+        self.events.lock().push(TaskEvent {
+            at: Instant::now(),
+            task,
+            machine: m.id.to_string(),
+            zone: m.zone.clone(),
+            what,
+        });
+    }
+
+    /// All that was started and ended, in the order of time.
+    pub fn events(&self) -> Vec<TaskEvent> {
+        self.events.lock().clone()
+    }
+
+    /// Workers have leases of such a life from now on.
+    pub fn use_leases(&self, lease: Duration) {
+        *self.lease.lock() = Some(lease);
+    }
+
+    /// Machines that hang go on.
+    pub fn resume(&self) {
+        self.hanging.lock().clear();
+    }
+
+    /// All that is on a machine is gone.
+    fn end_all(&self, m: &mut Machine) {
+        for (task, t) in std::mem::take(&mut m.tasks) {
+            if t.state != TaskState::Exited {
+                self.note(m, task, TaskChange::Ended { done: false });
+            }
+        }
+    }
+
+    /// Ends the session whose lease is over, and tasks that have completed.
+    fn pass_time(&self, m: &mut Machine) {
+        let now = Instant::now();
+        let lease = *self.lease.lock();
+        if lease.is_some_and(|lease| now > m.renewed + lease) {
+            self.end_all(m);
+            m.session += 1;
+            m.renewed = now;
+        }
+        let ended: Vec<TaskId> = m
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.state == TaskState::Running && t.until <= now)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in ended {
+            let t = m.tasks.get_mut(&task).expect("just seen");
+            (t.state, t.why) = (TaskState::Exited, Some(Why::Done));
+            self.note(m, task, TaskChange::Ended { done: true });
+        }
+    }
+
+    /// A copy of a report arrives late, and its answer reaches nobody.
+    fn copy_late(&self, body: &[u8], to: &str) {
+        let Some(delay) = *self.late_copies.lock() else {
+            return;
+        };
+        let (body, to) = (body.to_vec(), to.to_owned());
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let method = hyper::Method::POST;
+            let http = Http::default();
+            let _ = http
+                .call(method, &to, "/v1/report", Some(body), REPORT_PATIENCE)
+                .await;
+        });
+    }
+
     async fn report(self: Arc<Self>, m: Arc<Mutex<Machine>>) {
         let http = Http::default();
         let mut at = 0;
         loop {
             sleep(Duration::from_millis(150)).await;
+            self.pass_time(&mut m.lock());
             if self.mute.load(Ordering::Relaxed) || self.hangs(&m) {
                 continue;
             }
+            let (sent, session) = (Instant::now(), m.lock().session);
             let body = {
                 let mut m = m.lock();
                 if m.gone {
                     return;
                 }
-                let now = Instant::now();
-                for t in m.tasks.values_mut() {
-                    if t.state == TaskState::Running && t.until <= now {
-                        (t.state, t.why) = (TaskState::Exited, Some(Why::Done));
-                    }
-                }
                 serde_json::to_vec(&report_of(&mut m)).expect("json")
             };
-            let to = self.controllers[at % self.controllers.len()].1.to_string();
+            let controller = at % self.controllers.len();
+            if self.unreachable.lock().contains(&controller) {
+                at += 1;
+                continue;
+            }
+            let to = self.controllers[controller].1.to_string();
+            self.copy_late(&body, &to);
             let r = http
                 .call(
                     hyper::Method::POST,
@@ -374,10 +491,12 @@
                     self.reported.lock().push(body);
                     let reply: ReportReply = serde_json::from_slice(&r.body).expect("a reply");
                     let mut m = m.lock();
-                    if reply.token < m.token {
+                    let late = sent.elapsed() > REPORT_PATIENCE;
+                    if reply.token < m.token || m.session != session || late {
                         continue;
                     }
                     m.token = reply.token;
+                    m.renewed = m.renewed.max(sent);
                     for c in reply.commands {
                         self.execute(&mut m, c);
                     }
@@ -406,7 +525,7 @@
         machine_type: "small".into(),
         zone: m.zone.clone(),
         spot: m.spot,
-        session: 1,
+        session: m.session,
         seq: m.seq,
         token: m.token,
         notice_s: None,
--- /dev/null
+++ b/tests/support/faults.rs
@@ -0,0 +1,107 @@
+//! Faults and their schedules, drawn from a seed.
+#![allow(dead_code)]
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// What may go wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// A controller ends and is back at once.
+    KillBriefly,
+    /// A controller ends and is back after the fault.
+    Kill,
+    /// All controllers end and are back after the fault.
+    KillAll,
+    /// A controller stands still while its clocks run on.
+    Pause,
+    /// The state service refuses one controller.
+    StateRefuses,
+    /// The state service refuses everybody.
+    StateOut,
+    /// Some transactions get no answer and are carried out late.
+    LateWrites,
+    /// No machine takes direct commands; answers to reports reach them.
+    NoCommands,
+    /// No machine reports; direct commands reach them.
+    NoReports,
+    /// No machine reaches one of the controllers.
+    ControllerUnheard,
+    /// Some machines hang.
+    Hang,
+    /// Copies of reports come late.
+    LateReports,
+    /// The links of a controller to the others are refused.
+    PeersRefuse,
+    /// They hold back what is sent.
+    PeersHold,
+    /// They are slow.
+    PeersDelay,
+    /// The state service refuses some transactions for their rate.
+    RateRefused,
+}
+
+/// All faults, by the names that the command takes.
+pub const FAULTS: [(&str, Fault); 16] = [
+    ("kill_briefly", Fault::KillBriefly),
+    ("kill", Fault::Kill),
+    ("kill_all", Fault::KillAll),
+    ("pause", Fault::Pause),
+    ("state_refuses", Fault::StateRefuses),
+    ("state_out", Fault::StateOut),
+    ("late_writes", Fault::LateWrites),
+    ("no_commands", Fault::NoCommands),
+    ("no_reports", Fault::NoReports),
+    ("controller_unheard", Fault::ControllerUnheard),
+    ("hang", Fault::Hang),
+    ("late_reports", Fault::LateReports),
+    ("peers_refuse", Fault::PeersRefuse),
+    ("peers_hold", Fault::PeersHold),
+    ("peers_delay", Fault::PeersDelay),
+    ("rate_refused", Fault::RateRefused),
+];
+
+impl FromStr for Fault {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        let known = FAULTS.iter().find(|(known, _)| *known == name);
+        known
+            .map(|(_, fault)| *fault)
+            .ok_or_else(|| format!("unknown fault `{name}`"))
+    }
+}
+
+/// A fault at a time, on one of the controllers where it concerns one.
+#[derive(Debug, Clone, Copy)]
+pub struct Planned {
+    pub at: Duration,
+    pub until: Duration,
+    pub fault: Fault,
+    pub controller: usize,
+}
+
+/// Faults at random moments within `length`, up to three at a time.
+pub fn schedule(seed: u64, length: Duration, faults: &[Fault]) -> Vec<Planned> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    let mut at = 2.0;
+    while at < length.as_secs_f64() {
+        for _ in 0..rng.random_range(1..4) {
+            let begins = at + rng.random_range(0.0..1.5);
+            let lasts = rng.random_range(0.3..7.0);
+            all.push(Planned {
+                at: Duration::from_secs_f64(begins),
+                until: Duration::from_secs_f64(begins + lasts),
+                fault: faults[rng.random_range(0..faults.len())],
+                controller: rng.random_range(0..3),
+            });
+        }
+        at += rng.random_range(3.0..8.0);
+    }
+    all.sort_by_key(|planned| planned.at);
+    all
+}
--- /dev/null
+++ b/tests/support/proxy.rs
@@ -0,0 +1,91 @@
+//! A proxy on a link between two parties, which can be cut, refused or delayed.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// What becomes of what is sent over a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It arrives.
+    Pass,
+    /// Connections are closed, new ones at once.
+    Refuse,
+    /// Nothing arrives in either direction; what was sent arrives after.
+    Hold,
+    /// It arrives so much later.
+    Delay(Duration),
+}
+
+/// A link to one address.
+#[derive(Debug)]
+pub struct Proxy {
+    /// Where the link is entered.
+    pub addr: SocketAddr,
+    mode: watch::Sender<Mode>,
+}
+
+impl Proxy {
+    /// Opens a link to an address.
+    pub async fn start(to: SocketAddr) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (mode, modes) = watch::channel(Mode::Pass);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                if *modes.borrow() != Mode::Refuse {
+                    tokio::spawn(pass_on(stream, to, modes.clone()));
+                }
+            }
+        });
+        Arc::new(Self { addr, mode })
+    }
+
+    /// Changes what becomes of the link.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn pass_on(near: TcpStream, to: SocketAddr, modes: watch::Receiver<Mode>) {
+    let Ok(far) = TcpStream::connect(to).await else {
+        return;
+    };
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let mut refused = modes.clone();
+    tokio::select! {
+        () = copy(near_read, far_write, modes.clone()) => {}
+        () = copy(far_read, near_write, modes) => {}
+        _ = refused.wait_for(|mode| *mode == Mode::Refuse) => {}
+    }
+}
+
+async fn copy(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    mut modes: watch::Receiver<Mode>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let Ok(n) = from.read(&mut buffer).await else {
+            return;
+        };
+        if n == 0 || modes.wait_for(|mode| *mode != Mode::Hold).await.is_err() {
+            return;
+        }
+        let mode = *modes.borrow();
+        if let Mode::Delay(by) = mode {
+            sleep(by).await;
+        }
+        if to.write_all(&buffer[..n]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -43,6 +43,7 @@
     pub state: Arc<State>,
     pub cloud: Arc<Cloud>,
     pub api: Vec<SocketAddr>,
+    pub back: Vec<SocketAddr>,
     texts: Vec<String>,
     stops: Vec<Option<std::sync::mpsc::Sender<()>>>,
 }
@@ -93,6 +94,7 @@
             state,
             cloud,
             api,
+            back,
             texts,
             stops: vec![None, None, None],
         }
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use warp::Filter;
 
-pub use cloud::Cloud;
+pub use cloud::{Cloud, TaskChange};
 pub use state_service::State;
 
 /// A status and a body.
