--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -38,7 +38,8 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 use site::{job_name, on_loopback};
-use standins::{ask, Cloud, TaskChange};
+use standins::cloud::TaskChange;
+use standins::{ask, Cloud};
 use tokio::time::{sleep, timeout};
 
 pub use support::types;
--- a/tests/support/standins.rs
+++ b/tests/support/standins.rs
@@ -2,7 +2,7 @@
 //! ([`State`]), and a cloud with its workers ([`Cloud`]).
 #![allow(dead_code)]
 
-mod cloud;
+pub mod cloud;
 mod state_service;
 
 use std::net::SocketAddr;
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use warp::Filter;
 
-pub use cloud::{Cloud, TaskChange};
+pub use cloud::Cloud;
 pub use state_service::State;
 
 /// A status and a body.
