--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -23,12 +23,12 @@
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bitternfold::wire::{JobId, Standing, TaskId};
-use faults::{schedule, Fault, Planned, FAULTS};
+use faults::{schedule, Fault, Planned, Target, FAULTS};
 use history::{Answer, Event, History, Submitted, Violation};
 use parking_lot::Mutex;
 use processes::Processes;
@@ -86,6 +86,8 @@
     /// Jobs that never end by themselves.
     endless: Mutex<Vec<JobId>>,
     stopped: AtomicBool,
+    /// Submissions that are neither accepted nor given up.
+    submitting: AtomicUsize,
     next: AtomicU64,
 }
 
@@ -186,7 +188,10 @@
         if endless {
             self.cloud.run_slowly(&job.to_string());
         }
-        if !self.submit(job, submitted, body.clone(), at).await {
+        self.submitting.fetch_add(1, Ordering::Relaxed);
+        let accepted = self.submit(job, submitted, body.clone(), at).await;
+        self.submitting.fetch_sub(1, Ordering::Relaxed);
+        if !accepted {
             return;
         }
         if endless {
@@ -272,11 +277,10 @@
     body
 }
 
-/// Begins or ends a fault.
-fn apply(processes: &mut Processes, planned: &Planned, begins: bool) {
-    let i = planned.controller;
+/// Begins or ends a fault, on a controller where it concerns one.
+fn apply(processes: &mut Processes, fault: Fault, i: usize, begins: bool) {
     let (state, cloud) = (processes.site.state.clone(), processes.site.cloud.clone());
-    match planned.fault {
+    match fault {
         Fault::KillBriefly if begins => {
             processes.kill(i);
             processes.boot(i);
@@ -317,13 +321,7 @@
     for i in 0..3 {
         processes.pause(i, false);
         for (_, fault) in FAULTS {
-            let over = Planned {
-                at: Duration::ZERO,
-                until: Duration::ZERO,
-                fault,
-                controller: i,
-            };
-            apply(processes, &over, false);
+            apply(processes, fault, i, false);
         }
     }
 }
@@ -353,19 +351,26 @@
 
 /// Plays the faults while users go on.
 async fn under_faults(processes: &mut Processes, users: &Arc<Users>, plan: &Plan, schedule: &[Planned]) {
-    let mut changes: Vec<(Duration, &Planned, bool)> = Vec::new();
-    for planned in schedule {
-        changes.push((planned.at, planned, true));
-        changes.push((planned.until.min(plan.length), planned, false));
+    let mut changes: Vec<(Duration, usize, bool)> = Vec::new();
+    for (number, planned) in schedule.iter().enumerate() {
+        changes.push((planned.at, number, true));
+        changes.push((planned.until.min(plan.length), number, false));
     }
+    // Who led when a fault began.
+    let mut concerned = BTreeMap::new();
     changes.sort_by_key(|change| change.0);
     let mut changes = changes.into_iter().peekable();
     let mut next_user = Duration::ZERO;
     let mut arrivals = StdRng::seed_from_u64(plan.seed ^ 0x5eed);
     while users.began.elapsed() < plan.length {
         let now = users.began.elapsed();
-        while let Some((_, planned, begins)) = changes.next_if(|change| change.0 <= now) {
-            apply(processes, planned, begins);
+        while let Some((_, number, begins)) = changes.next_if(|change| change.0 <= now) {
+            let planned = &schedule[number];
+            let controller = *concerned.entry(number).or_insert_with(|| match planned.target {
+                Target::Controller(i) => i,
+                Target::Leader => processes.site.leader().unwrap_or(0),
+            });
+            apply(processes, planned.fault, controller, begins);
         }
         if next_user <= now {
             next_user = now + Duration::from_secs_f64(arrivals.random_range(0.1..0.7));
@@ -380,6 +385,8 @@
     let began = Instant::now();
     let mut cancelled = 0;
     loop {
+        // Before what is open is counted: a job may be accepted meanwhile.
+        let submitting = users.submitting.load(Ordering::Relaxed);
         let endless: Vec<JobId> = users.endless.lock().clone();
         for job in &endless[cancelled..] {
             users.cancel(*job, 0).await;
@@ -394,7 +401,7 @@
                 None | Some(Standing::Queued | Standing::Running)
             ));
         }
-        let all = open <= jobs.len() - accepted_jobs(users);
+        let all = submitting == 0 && open <= jobs.len() - accepted_jobs(users);
         if all && cancelled == users.endless.lock().len() || began.elapsed() > ENDS_WITHIN {
             break;
         }
@@ -484,6 +491,7 @@
         jobs: Mutex::default(),
         endless: Mutex::default(),
         stopped: AtomicBool::new(false),
+        submitting: AtomicUsize::new(0),
         next: AtomicU64::new(1),
     });
     let schedule = schedule(plan.seed, plan.length, &plan.faults);
--- a/tests/support/faults.rs
+++ b/tests/support/faults.rs
@@ -75,13 +75,20 @@
     }
 }
 
-/// A fault at a time, on one of the controllers where it concerns one.
+/// Which controller a fault concerns, where it concerns one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    Leader,
+    Controller(usize),
+}
+
+/// A fault at a time.
 #[derive(Debug, Clone, Copy)]
 pub struct Planned {
     pub at: Duration,
     pub until: Duration,
     pub fault: Fault,
-    pub controller: usize,
+    pub target: Target,
 }
 
 /// Faults at random moments within `length`, up to three at a time.
@@ -97,7 +104,10 @@
                 at: Duration::from_secs_f64(begins),
                 until: Duration::from_secs_f64(begins + lasts),
                 fault: faults[rng.random_range(0..faults.len())],
-                controller: rng.random_range(0..3),
+                target: match rng.random_range(0..6) {
+                    i @ 0..3 => Target::Controller(i),
+                    _ => Target::Leader,
+                },
             });
         }
         at += rng.random_range(3.0..8.0);
