--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -698,6 +698,14 @@
         }
     }
 
+    fn not_found(n: u32, asked: u64) -> Event {
+        Event::Told {
+            job: id(n),
+            asked: Duration::from_secs(asked),
+            answer: Answer::NotFound,
+        }
+    }
+
     /// Jobs 1, 2 after 1, and 3, with events at whole seconds.
     fn history(events: &[(u64, Event)]) -> History {
         History {
@@ -725,6 +733,8 @@
         let clean = [
             (1, Event::Accepted(id(1))),
             (1, Event::Accepted(id(2))),
+            // Asked before it was accepted, answered after.
+            (2, not_found(2, 0)),
             (2, started(1)),
             (3, told(1, 3, Standing::Running)),
             (4, ended(1, false)),
@@ -776,12 +786,7 @@
         let back = with(&cancelled, &[(4, told(1, 3, Standing::Running))]);
         assert_eq!(back, ["went_back"]);
         assert_eq!(rules(&[(1, told(3, 1, Standing::Cancelled))]), ["went_back"]);
-        let lost = Event::Told {
-            job: id(1),
-            asked: Duration::from_secs(2),
-            answer: Answer::NotFound,
-        };
-        assert!(rules(&[(1, Event::Accepted(id(1))), (3, lost)]).contains(&"forgotten"));
+        assert!(rules(&[(1, Event::Accepted(id(1))), (3, not_found(1, 2))]).contains(&"forgotten"));
         assert_eq!(rules(&[(1, told(9, 1, Standing::Queued))]), ["invented"]);
         assert_eq!(rules(&[(1, Event::Accepted(id(3)))]), ["left_over"]);
     }
--- a/tests/support/history.rs
+++ b/tests/support/history.rs
@@ -78,7 +78,8 @@
 struct Seen {
     live: BTreeMap<TaskId, BTreeSet<String>>,
     done: HashSet<TaskId>,
-    accepted: HashSet<JobId>,
+    /// When each job was accepted.
+    accepted: BTreeMap<JobId, Duration>,
     asked_to_cancel: HashSet<JobId>,
     /// Final states that somebody was told, and when first.
     told: BTreeMap<JobId, (Standing, Duration)>,
@@ -97,7 +98,7 @@
         let mut seen = Seen::default();
         for (at, event) in &self.events {
             match event {
-                Event::Accepted(job) => drop(seen.accepted.insert(*job)),
+                Event::Accepted(job) => drop(seen.accepted.entry(*job).or_insert(*at)),
                 Event::CancelAsked(job) => drop(seen.asked_to_cancel.insert(*job)),
                 Event::Told { job, asked, answer } => self.told(&mut seen, *at, *job, *asked, *answer),
                 Event::Started { task, machine, zone } => {
@@ -212,7 +213,8 @@
     fn told(&self, seen: &mut Seen, at: Duration, job: JobId, asked: Duration, answer: Answer) {
         let standing = match answer {
             Answer::NotFound => {
-                if seen.accepted.contains(&job) {
+                // An answer to a question that was sent before may come after.
+                if seen.accepted.get(&job).is_some_and(|since| asked > *since) {
                     seen.violated("forgotten", format!("{job} is not found, {at:?}"));
                 }
                 return;
@@ -268,7 +270,7 @@
         }
         let open: Vec<JobId> = seen
             .accepted
-            .iter()
+            .keys()
             .filter(|job| !seen.told.contains_key(job))
             .copied()
             .collect();
