--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,12 +16,15 @@
 mod proxy;
 #[path = "support/site.rs"]
 mod site;
+#[path = "support/soak_request.rs"]
+mod soak_request;
 #[path = "support/standins.rs"]
 mod standins;
 mod support;
+#[path = "support/users.rs"]
+mod users;
 
 use std::collections::BTreeMap;
-use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -34,13 +37,12 @@
 use processes::Processes;
 use proxy::Mode;
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use serde_json::{json, Value};
 use site::{job_name, on_loopback};
+use soak_request::Request;
 use standins::cloud::TaskChange;
-use standins::{ask, Cloud};
 use tokio::time::{sleep, timeout};
+use users::Users;
 
 pub use support::types;
 
@@ -76,207 +78,6 @@
     folder: PathBuf,
 }
 
-/// What users do and are told.
-struct Users {
-    api: Vec<std::net::SocketAddr>,
-    began: Instant,
-    events: Mutex<Vec<(Duration, Event)>>,
-    jobs: Mutex<BTreeMap<JobId, Submitted>>,
-    cloud: Arc<Cloud>,
-    /// Jobs that never end by themselves.
-    endless: Mutex<Vec<JobId>>,
-    stopped: AtomicBool,
-    /// Submissions that are neither accepted nor given up.
-    submitting: AtomicUsize,
-    next: AtomicU64,
-}
-
-fn standing_of(body: &Value) -> Option<Standing> {
-    serde_json::from_value(body["standing"].clone()).ok()
-}
-
-impl Users {
-    fn note(&self, event: Event) {
-        self.events.lock().push((self.began.elapsed(), event));
-    }
-
-    fn note_answer(&self, job: JobId, asked: Duration, (status, body): &(u16, Value)) {
-        let answer = match status {
-            200 => standing_of(body).map(Answer::Known),
-            404 => Some(Answer::NotFound),
-            _ => None,
-        };
-        if let Some(answer) = answer {
-            self.note(Event::Told { job, asked, answer });
-        }
-    }
-
-    async fn poll(&self, job: JobId, at: usize) -> Option<Standing> {
-        let asked = self.began.elapsed();
-        let answer = ask("GET", self.api[at], &format!("/v2/runs/{job}"), None).await;
-        self.note_answer(job, asked, &answer);
-        standing_of(&answer.1).filter(|_| answer.0 == 200)
-    }
-
-    /// Submits a job until it is accepted or the time is over.
-    async fn submit(&self, job: JobId, submitted: Submitted, body: Value, at: usize) -> bool {
-        self.jobs.lock().insert(job, submitted);
-        for attempt in 0..40 {
-            let asked = self.began.elapsed();
-            let answer = ask(
-                "POST",
-                self.api[(at + attempt) % 3],
-                "/v2/runs",
-                Some(body.clone()),
-            )
-            .await;
-            match answer.0 {
-                201 => {
-                    self.note(Event::Accepted(job));
-                    return true;
-                }
-                200 => {
-                    self.note(Event::Accepted(job));
-                    self.note_answer(job, asked, &answer);
-                    return true;
-                }
-                400 | 422 => panic!("{job} is refused: {answer:?}"),
-                _ => sleep(Duration::from_millis(500)).await,
-            }
-        }
-        false
-    }
-
-    async fn cancel(&self, job: JobId, at: usize) -> bool {
-        self.note(Event::CancelAsked(job));
-        for attempt in 0..120 {
-            let asked = self.began.elapsed();
-            let path = format!("/v2/runs/{job}/cancel");
-            let answer = ask("POST", self.api[(at + attempt) % 3], &path, None).await;
-            if answer.0 == 200 {
-                self.note_answer(job, asked, &answer);
-                return true;
-            }
-            sleep(Duration::from_millis(500)).await;
-        }
-        false
-    }
-
-    /// Jobs that name this one, directly or through others.
-    fn dependents(&self, job: JobId) -> Vec<JobId> {
-        let jobs = self.jobs.lock();
-        let mut all = vec![job];
-        // Jobs name only earlier ones.
-        for (id, submitted) in jobs.iter() {
-            if submitted.awaits.iter().any(|named| all.contains(named)) {
-                all.push(*id);
-            }
-        }
-        all.split_off(1)
-    }
-
-    /// One user: a job, perhaps after others, perhaps cancelled and then asked
-    /// about, with all jobs after it, at every controller.
-    async fn one(self: Arc<Self>, seed: u64) {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let number = self.next.fetch_add(1, Ordering::Relaxed) as u32;
-        let job: JobId = job_name(number).parse().expect("an id");
-        let endless = rng.random_bool(0.25);
-        let submitted = self.draw(&mut rng, endless);
-        let body = body_of(number, &submitted, endless);
-        let at = rng.random_range(0..3);
-        if endless {
-            self.cloud.run_slowly(&job.to_string());
-        }
-        self.submitting.fetch_add(1, Ordering::Relaxed);
-        let accepted = self.submit(job, submitted, body.clone(), at).await;
-        self.submitting.fetch_sub(1, Ordering::Relaxed);
-        if !accepted {
-            return;
-        }
-        if endless {
-            self.endless.lock().push(job);
-        }
-        let cancels = rng.random_bool(0.35);
-        let after = Duration::from_secs_f64(rng.random_range(0.0..6.0));
-        sleep(after).await;
-        if cancels && self.cancel(job, rng.random_range(0..3)).await {
-            let mut concerned = self.dependents(job);
-            concerned.push(job);
-            for id in concerned.into_iter().take(6) {
-                for at in 0..3 {
-                    self.poll(id, at).await;
-                }
-            }
-        }
-        while !self.stopped.load(Ordering::Relaxed) {
-            let at = rng.random_range(0..3);
-            if rng.random_bool(0.2) {
-                // A repeat of an accepted submission.
-                let asked = self.began.elapsed();
-                let answer = ask("POST", self.api[at], "/v2/runs", Some(body.clone())).await;
-                self.note_answer(job, asked, &answer);
-            } else if matches!(
-                self.poll(job, at).await,
-                Some(Standing::Done | Standing::Cancelled)
-            ) {
-                break;
-            }
-            sleep(Duration::from_secs(1)).await;
-        }
-        // Later questions must find the same.
-        self.poll(job, rng.random_range(0..3)).await;
-    }
-
-    fn draw(&self, rng: &mut StdRng, endless: bool) -> Submitted {
-        let jobs = self.jobs.lock();
-        let accepted: std::collections::HashSet<JobId> = self
-            .events
-            .lock()
-            .iter()
-            .filter_map(|(_, event)| match event {
-                Event::Accepted(job) => Some(*job),
-                _ => None,
-            })
-            .collect();
-        let recent: Vec<JobId> = jobs
-            .keys()
-            .rev()
-            .filter(|id| accepted.contains(id))
-            .take(8)
-            .copied()
-            .collect();
-        let named = if rng.random_bool(0.5) {
-            rng.random_range(1..3)
-        } else {
-            0
-        };
-        let mut awaits: Vec<JobId> = recent.choose_multiple(rng, named).copied().collect();
-        awaits.sort_unstable();
-        let red = rng.random_bool(0.4);
-        Submitted {
-            tasks: rng.random_range(1..5),
-            cpus: if endless { 4.0 } else { 2.0 },
-            team: if red { "red" } else { "blue" }.into(),
-            zone: rng.random_bool(0.3).then(|| "north".to_owned()),
-            awaits,
-        }
-    }
-}
-
-fn body_of(number: u32, submitted: &Submitted, endless: bool) -> Value {
-    let mut body = serde_json::to_value(support::job(number, submitted.tasks, submitted.cpus)).expect("json");
-    body["expected_s"] = json!(if endless { 60.0 } else { 1.0 });
-    body["desk"] = json!(submitted.team);
-    body["yard"] = json!(submitted.zone);
-    body["awaits"] = json!(submitted
-        .awaits
-        .iter()
-        .map(ToString::to_string)
-        .collect::<Vec<_>>());
-    body
-}
-
 /// Begins or ends a fault, on a controller where it concerns one.
 fn apply(processes: &mut Processes, fault: Fault, i: usize, begins: bool) {
     let (state, cloud) = (processes.site.state.clone(), processes.site.cloud.clone());
@@ -401,7 +202,7 @@
                 None | Some(Standing::Queued | Standing::Running)
             ));
         }
-        let all = submitting == 0 && open <= jobs.len() - accepted_jobs(users);
+        let all = submitting == 0 && open <= jobs.len() - users.accepted().len();
         if all && cancelled == users.endless.lock().len() || began.elapsed() > ENDS_WITHIN {
             break;
         }
@@ -413,15 +214,6 @@
     sleep(Duration::from_millis(1500)).await;
 }
 
-fn accepted_jobs(users: &Users) -> usize {
-    let events = users.events.lock();
-    let accepted = events.iter().filter_map(|(_, event)| match event {
-        Event::Accepted(job) => Some(*job),
-        _ => None,
-    });
-    accepted.collect::<std::collections::BTreeSet<_>>().len()
-}
-
 fn history_of(users: &Users, processes: &Processes) -> History {
     let mut events = users.events.lock().clone();
     for e in processes.site.cloud.events() {
@@ -540,55 +332,6 @@
     true
 }
 
-/// What the command by hand is asked for.
-#[derive(Debug, PartialEq)]
-struct Request {
-    seeds: RangeInclusive<u64>,
-    seconds: u64,
-    workers: usize,
-    faults: Vec<Fault>,
-}
-
-impl Request {
-    /// Reads variables of the environment; what is wrong is named.
-    fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let number = |name: &str, default: u64, range: RangeInclusive<u64>| {
-            let Some(text) = variable(name) else {
-                return Ok(default);
-            };
-            let number: u64 = text
-                .parse()
-                .map_err(|_| format!("{name}: `{text}` is no number"))?;
-            if !range.contains(&number) {
-                return Err(format!("{name}: {number} is not within {range:?}"));
-            }
-            Ok(number)
-        };
-        let seeds = variable("SOAK_SEEDS").unwrap_or_else(|| "1-5".to_owned());
-        let malformed = || format!("SOAK_SEEDS: `{seeds}` is not like `1-50`");
-        let (first, last) = seeds.split_once('-').ok_or_else(malformed)?;
-        let first: u64 = first.parse().map_err(|_| malformed())?;
-        let last: u64 = last.parse().map_err(|_| malformed())?;
-        if first > last {
-            return Err(malformed());
-        }
-        let faults = match variable("SOAK_FAULTS") {
-            None => FAULTS.iter().map(|(_, fault)| *fault).collect(),
-            Some(names) => names
-                .split(',')
-                .map(|name| name.trim().parse())
-                .collect::<Result<Vec<Fault>, String>>()
-                .map_err(|e| format!("SOAK_FAULTS: {e}"))?,
-        };
-        Ok(Self {
-            seeds: first..=last,
-            seconds: number("SOAK_SECONDS", 30, 5..=3600)?,
-            workers: number("SOAK_WORKERS", 20, 1..=400)? as usize,
-            faults,
-        })
-    }
-}
-
 #[test]
 #[ignore = "by hand, see the head of this file"]
 fn by_hand() {
