--- a/review/standins/cloud.py
+++ b/review/standins/cloud.py
@@ -26,6 +26,8 @@
         self.renewed = time.monotonic()
         self.changed = asyncio.Event()
         self.server = Server(self.handle)
+        self.awake = asyncio.Event()  # cleared while the machine hangs
+        self.awake.set()
         self.recall_at = None  # when the cloud takes the machine away, if it gave notice
 
     async def start(self):
@@ -74,6 +76,7 @@
         index = random.randrange(len(hosts))
         client = Client(hosts[index][1])
         while True:
+            await self.awake.wait()
             self.changed.clear()
             sent, tenure = time.monotonic(), self.tenure
             pause = None
