--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -11,7 +10,7 @@
 
 import strathmore  # noqa: E402
 from cloud import Cloud  # noqa: E402
-from deployment import Platform, Record, wait_for  # noqa: E402
+from deployment import Platform, run_case, wait_for  # noqa: E402
 from state_service import StateService  # noqa: E402
 from users import Users  # noqa: E402
 
@@ -19,7 +18,6 @@
 BOUND_S = 75.0  # more/hunt/LATER.md: "a job about which no question is answered for 75 s"
 RESTART_S = 3.0  # BRIEF: "back about 3 s after an end"
 STAGES = 31
-LIMIT_S = 117.0
 
 
 def pipeline():
@@ -110,12 +108,4 @@
     return 0, "questions about the pipeline were answered"
 
 
-def main():
-    record = Record(HERE / "record.txt")
-    code, why = asyncio.run(play(record))
-    record.note("result", exit=code, why=why)
-    print(why)
-    sys.exit(code)
-
-
-main()
+run_case(play, HERE)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 
 import strathmore  # noqa: E402
 from cloud import Cloud  # noqa: E402
-from deployment import Platform, Record, wait_for  # noqa: E402
+from deployment import Platform, run_case, wait_for  # noqa: E402
 from left_waiting import LeftWaiting, judge  # noqa: E402
 from state_service import StateService  # noqa: E402
 from users import Users  # noqa: E402
@@ -107,12 +107,4 @@
         polls.cancel()
 
 
-def main():
-    record = Record(HERE / "record.txt")
-    code, why = asyncio.run(play(record))
-    record.note("result", exit=code, why=why)
-    print(why)
-    sys.exit(code)
-
-
-main()
+run_case(play, HERE)
--- a/review/standins/cloud.py
+++ b/review/standins/cloud.py
@@ -26,6 +26,9 @@
         self.renewed = time.monotonic()
         self.changed = asyncio.Event()
         self.server = Server(self.handle)
+        self.server.on_oversized = lambda path, length: cloud.note(
+            "body_too_large", rack=machine["name_id"], path=path, bytes=length
+        )
         self.awake = asyncio.Event()  # cleared while the machine hangs
         self.awake.set()
         self.recall_at = None  # when the cloud takes the machine away, if it gave notice
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -1,11 +1,14 @@
 """Starts and ends the controllers by the deploy file, and keeps the record of a run."""
 
 import asyncio
+import atexit
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -15,12 +18,18 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports that nobody listens on, below those that the system gives to connections: a
+    controller's port must still be free when it is started again."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -42,6 +51,8 @@
 
 
 class Platform:
+    """Ends its processes also when the test itself is ended."""
+
     def __init__(self, record, zones, settings, state, cloud, back_proxy=None):
         """`settings` is the [cluster] part of the settings file, as TOML text. `state` is an
         address, or a list with one for each controller."""
@@ -54,6 +65,7 @@
         self.api = [f"127.0.0.1:{p}" for p in ports[: len(zones)]]
         self.back = [f"127.0.0.1:{p}" for p in ports[len(zones):]]
         self.processes = [None] * len(zones)
+        atexit.register(self.stop_all)
         states = state if isinstance(state, list) else [state] * len(zones)
         for i, zone in enumerate(zones):
             lines = [
@@ -125,3 +137,23 @@
             return True
         await asyncio.sleep(step)
     return bool(condition())
+
+
+def run_case(play, folder):
+    """Runs `play(record)`, which returns an exit code and a reason, and exits with the code: 1
+    the rule was broken, 0 it held, 2 the case couldn't run, also for want of time."""
+    def stop(*_):
+        print("ended before the case was decided")
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGALRM, stop)
+    signal.alarm(118)
+    record = Record(folder / "record.txt")
+    try:
+        code, why = asyncio.run(play(record))
+    except Exception as error:  # A fault of the test, not of the service.
+        code, why = 2, f"{type(error).__name__}: {error}"
+    record.note("result", exit=code, why=why)
+    print(why)
+    sys.exit(code)
--- a/review/standins/httpio.py
+++ b/review/standins/httpio.py
@@ -20,6 +20,9 @@
     return line.decode("latin-1").split(), headers
 
 
+MAX_REQUEST_BYTES = 64 * 1024  # PROTOCOL: "The limit for request bodies is 64 KiB."
+
+
 async def read_body(reader, headers):
     length = int(headers.get("content-length", "0"))
     return await reader.readexactly(length) if length else b""
@@ -43,6 +46,7 @@
         self.handler = handler
         self.server = None
         self.connections = set()
+        self.on_oversized = None  # called with the path and the length
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, backlog=1024)
@@ -57,6 +61,11 @@
                     return
                 (method, target, *_), headers = head
                 body = await read_body(reader, headers)
+                if len(body) > MAX_REQUEST_BYTES:
+                    if self.on_oversized:
+                        self.on_oversized(target, len(body))
+                    writer.write(encode_response(413, {"error": "body too large"}))
+                    continue
                 parts = urlsplit(target)
                 query = dict(parse_qsl(parts.query))
                 answer = await self.handler(method, parts.path, query, body)
