Dependencies: the work of traversals is counted and logged

`Dependencies::visits` counts the jobs that traversals of the graph visit. The line "stored state loaded" has the count of the load as `dependency_visits`, and at level debug each added and each cancelled job has a line with its count.

Behaviour is unchanged.

--- a/src/core/state/dependencies/cancellation.rs
+++ b/src/core/state/dependencies/cancellation.rs
@@ -21,6 +21,7 @@
         let mut seen: HashSet<JobId> = HashSet::from([id]);
         let mut stack = vec![id];
         while let Some(job) = stack.pop() {
+            self.visits += 1;
             for dependent in self.dependents.remove(&job).unwrap_or_default() {
                 if seen.insert(dependent) {
                     cancelled.push(dependent);
--- a/src/core/state/dependencies/graph.rs
+++ b/src/core/state/dependencies/graph.rs
@@ -57,6 +57,8 @@
     pub(super) pending_cancellations: BTreeSet<JobId>,
     /// The urgency that jobs inherit from their dependents.
     pub(super) inherited: BTreeMap<JobId, Urgency>,
+    /// See [`Dependencies::visits`].
+    pub(super) visits: u64,
 }
 
 impl Dependencies {
@@ -108,6 +110,12 @@
         &self.unresolved
     }
 
+    /// How many jobs the traversals that follow changes of the graph have visited, a job
+    /// that is visited several times counted each time. This measures their work.
+    pub fn visits(&self) -> u64 {
+        self.visits
+    }
+
     /// Notes that a job is stored as `done`, and when it was done if that is known. Its
     /// dependents no longer wait for it.
     pub fn done_stored(&mut self, id: JobId, done_at: Option<Instant>) {
--- a/src/core/state/dependencies/urgency.rs
+++ b/src/core/state/dependencies/urgency.rs
@@ -67,6 +67,7 @@
     pub(super) fn raise_inherited(&mut self, id: JobId) {
         let mut stack = vec![id];
         while let Some(job) = stack.pop() {
+            self.visits += 1;
             let Some(passed_on) = self.passed_on_urgency(job) else {
                 continue;
             };
@@ -87,6 +88,7 @@
     pub(super) fn lower_inherited(&mut self, jobs: BTreeSet<JobId>) {
         let mut stack: Vec<JobId> = jobs.into_iter().collect();
         while let Some(job) = stack.pop() {
+            self.visits += 1;
             let dependents = self.dependents.get(&job).into_iter().flatten();
             let new = dependents
                 .filter_map(|dependent| self.passed_on_urgency(*dependent))
--- a/src/core/state/model/jobs.rs
+++ b/src/core/state/model/jobs.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use tracing::info;
+use tracing::{debug, info};
 
 use crate::core::state::dependencies::{DependencyOutcome, DependentJob, Urgency};
 use crate::core::state::job::Job;
@@ -61,10 +61,13 @@
             run_time: self.predict(&job.spec),
         };
         let jobs = &self.jobs;
+        let visits_before = self.dependencies.visits();
         self.dependencies.add(&dependent, |dependency| {
             jobs.get(&dependency)
                 .is_some_and(|job| !job.cancellation_is_stored())
         });
+        let visits = self.dependencies.visits() - visits_before;
+        debug!(job = %job.spec.id, visits, "job added to the dependency graph");
     }
 
     /// Applies the outcome of a job that others depend on, as the state service has it.
@@ -79,7 +82,11 @@
     /// covers them, too: their cancellation may be confirmed to a user without a record
     /// of their own.
     fn cancel_dependents(&mut self, id: JobId) {
-        for dependent in self.dependencies.cancellation_stored(id) {
+        let visits_before = self.dependencies.visits();
+        let dependents = self.dependencies.cancellation_stored(id);
+        let visits = self.dependencies.visits() - visits_before;
+        debug!(job = %id, visits, "cancelled job removed from the dependency graph");
+        for dependent in dependents {
             // A dependent that its user has cancelled, too, has a record of its own, which
             // may not be stored yet.
             if let Some(job) = self.jobs.get_mut(&dependent).filter(|j| !j.cancelled) {
--- a/src/leader/active_leader/term.rs
+++ b/src/leader/active_leader/term.rs
@@ -63,6 +63,7 @@
             term = self.term,
             jobs = model.jobs().len(),
             machines = model.machines().len(),
+            dependency_visits = model.dependencies().visits(),
             took_ms = load_began.elapsed().as_millis() as u64,
             "stored state loaded; serving requests as the leader"
         );
