Dependencies: a due time is passed on in one visit of each job of a pipeline

Each new leader was caught in the same way, as the stored jobs are the cause.

Cause: `raise_inherited` walked from a job to its dependencies with a stack and visited a job again each time that its due time moved earlier. If the shorter of two paths is tried first at each stage, that is one visit for each path, 2^(stages + 1) - 1 of them, under the lock of the model on the only thread.

Other walks (lookups of stored dependencies, doubt about dependencies, dependents of a cancelled job) keep a set of visited jobs.

Fix: each node has a position in a topological order, and the walk takes jobs from the latest position to the earliest. All dependents that can change a job come before it, so it is visited once, with its final due time. The order is kept as jobs are added in any order; where a job comes after its dependents and their positions are too low, they are moved once each. Positions change the order of the work only, never its result.

The generated test of the graph has new leaders that read the jobs in any order, and bounds the visits of each added job.

--- a/src/core/state/dependencies/graph.rs
+++ b/src/core/state/dependencies/graph.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use crate::core::state::dependencies::order::FIRST_POSITION;
 use crate::core::state::dependencies::urgency::Urgency;
 use crate::wire::JobId;
 
@@ -39,6 +40,8 @@
     pub(super) urgency: Urgency,
     /// Its predicted run time: its dependencies are due earlier by it.
     pub(super) run_time: Duration,
+    /// Its position in the [topological order](super::order).
+    pub(super) position: i64,
 }
 
 /// The dependencies between all unfinished jobs of one term.
@@ -84,8 +87,10 @@
                 last_done_at: None,
                 urgency: job.urgency,
                 run_time: job.run_time,
+                position: FIRST_POSITION,
             },
         );
+        self.assign_position(job.id);
         self.raise_inherited(job.id);
     }
 
--- a/src/core/state/dependencies/mod.rs
+++ b/src/core/state/dependencies/mod.rs
@@ -10,13 +10,16 @@
 //! - `graph` holds the nodes and edges, and tells which jobs are ready.
 //! - `cancellation` passes cancellations on to all dependents.
 //! - `urgency` passes priorities and due times on to dependencies.
+//! - `order` keeps a topological order, in which traversals visit jobs.
 //!
 //! The graph belongs to the [`ClusterModel`](crate::core::ClusterModel) of one term,
-//! which alone reports events to it. The cost of a change is proportional to the edges
-//! that it affects. No traversal is recursive, so chains may be of any length.
+//! which alone reports events to it. A traversal visits each job that a change affects
+//! once, whatever the number of paths to it, so its cost is proportional to the edges of
+//! these jobs. No traversal is recursive, so chains may be of any length.
 
 mod cancellation;
 mod graph;
+mod order;
 mod urgency;
 
 pub use graph::{Dependencies, DependencyOutcome, DependentJob};
--- a/src/core/state/dependencies/urgency.rs
+++ b/src/core/state/dependencies/urgency.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::core::state::dependencies::graph::Dependencies;
+use crate::core::state::dependencies::order::VisitQueue;
 use crate::wire::{JobId, Priority};
 
 /// How urgent a job is, by itself or because of its dependents.
@@ -63,10 +64,12 @@
     }
 
     /// Passes a job's urgency on to its direct and indirect dependencies, as far as it
-    /// raises the urgency that they inherit.
+    /// raises the urgency that they inherit. Each job is visited at most once, after all
+    /// dependents that may raise its urgency.
     pub(super) fn raise_inherited(&mut self, id: JobId) {
-        let mut stack = vec![id];
-        while let Some(job) = stack.pop() {
+        let mut queue = VisitQueue::default();
+        queue.insert(self.position(id), id);
+        while let Some(job) = queue.pop_last() {
             self.visits += 1;
             let Some(passed_on) = self.passed_on_urgency(job) else {
                 continue;
@@ -77,7 +80,7 @@
                 let new = old.map_or(passed_on, |old| old.merge(passed_on));
                 if old != Some(new) {
                     self.inherited.insert(dependency, new);
-                    stack.push(dependency);
+                    queue.insert(self.position(dependency), dependency);
                 }
             }
         }
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -305,3 +305,51 @@
         assert!(site.cloud.tasks_run_twice.lock().is_empty());
     });
 }
+
+/// The submissions of a pipeline of stages of two jobs, numbered from `first` on, which each
+/// depend on both jobs of the stage before, and of a last job, which alone has a due time.
+/// Each path through the pipeline takes another time.
+fn pipeline(site: &Site, first: u32, stages: u32) -> Vec<Value> {
+    let mut jobs = Vec::new();
+    let mut stage_before = Vec::new();
+    for stage in 0..stages {
+        let numbers = [first + 2 * stage, first + 2 * stage + 1];
+        for (number, extra_s) in numbers.into_iter().zip([2f64.powi(stage as i32) * 1e-7, 0.0]) {
+            let mut body = site.job_awaiting(number, 1, &stage_before);
+            body["expected_s"] = json!(40.0 + extra_s);
+            jobs.push(body);
+        }
+        stage_before = numbers.to_vec();
+    }
+    let mut last = site.job_awaiting(first + 2 * stages, 1, &stage_before);
+    last["due_s"] = json!(3000.0);
+    jobs.push(last);
+    jobs
+}
+
+// Guards against controllers that answer nothing any more, as the leader passes a due time on
+// once for each path through a pipeline.
+#[test]
+fn all_controllers_answer_while_a_pipeline_with_many_paths_waits_and_the_leader_changes() {
+    const STAGES: u32 = 31;
+    run_async_test(async {
+        let mut site = Site::start(Duration::from_secs(600)).await;
+        site.wait_for_leader().await;
+        for body in pipeline(&site, 1, STAGES) {
+            check_accepted(&site, 0, body).await;
+        }
+        let old_leader = site.leader().expect("a leader");
+        for kill_leader in [false, true] {
+            if kill_leader {
+                site.kill_controller(old_leader);
+                site.state.end_leases();
+            }
+            for controller in (0..3).filter(|controller| site.is_up(*controller)) {
+                // Only a leader that has loaded all jobs knows that a task runs.
+                site.wait_for_state(controller, &job_id(1), "running").await;
+                let last = job_id(2 * STAGES + 1);
+                site.wait_for_state(controller, &last, "queued").await;
+            }
+        }
+    });
+}
--- a/tests/dependencies/graph.rs
+++ b/tests/dependencies/graph.rs
@@ -13,6 +13,7 @@
         1 => any::<usize>().prop_map(Operation::Cancel),
         1 => any::<usize>().prop_map(Operation::RequestCancellation),
         1 => Just(Operation::Elect),
+        1 => any::<u32>().prop_map(Operation::ElectInOrder),
         2 => any::<usize>().prop_map(Operation::Resolve),
     ]
 }
--- a/tests/dependencies/main.rs
+++ b/tests/dependencies/main.rs
@@ -10,3 +10,4 @@
 mod size;
 #[path = "../support/mod.rs"]
 mod support;
+mod work;
--- a/tests/dependencies/plain_model.rs
+++ b/tests/dependencies/plain_model.rs
@@ -2,6 +2,7 @@
 //! all jobs anew. It applies each operation to itself and to the graph under test.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use bitternfold::core::state::dependencies::{Dependencies, DependentJob, Urgency};
@@ -11,7 +12,7 @@
 use crate::fixtures::*;
 use crate::support::*;
 
-fn urgency(priority: Priority, due: Option<Instant>) -> Urgency {
+pub fn urgency(priority: Priority, due: Option<Instant>) -> Urgency {
     Urgency {
         priority,
         due,
@@ -46,10 +47,19 @@
     /// A new leader knows the unfinished jobs, and the outcomes of the others only once they
     /// are resolved.
     Elect,
+    /// The same, but it reads the jobs in an order that this number determines.
+    ElectInOrder(u32),
     /// The outcome of an unresolved dependency is read.
     Resolve(usize),
 }
 
+/// A key by which jobs are sorted into an order that differs from seed to seed.
+fn shuffle_key(id: JobId, seed: u32) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (id, seed).hash(&mut hasher);
+    hasher.finish()
+}
+
 pub struct PlainJob {
     awaits: Vec<JobId>,
     state: State,
@@ -134,17 +144,17 @@
             run_time: job.run_time,
         };
         let jobs = &self.jobs;
+        let visits_before = self.graph.visits();
         self.graph
             .add(&dependent, |n| jobs[&n].state == State::Unfinished);
+        let visits = self.graph.visits() - visits_before;
+        // One visit to move the job in the order, one to pass on its urgency.
+        let most = 2 * jobs.len() as u64;
+        assert!(visits <= most, "{visits} visits of {} jobs for {id}", jobs.len());
     }
 
     fn cancel(&mut self, id: JobId) {
-        let unfinished: Vec<JobId> = self
-            .jobs
-            .keys()
-            .copied()
-            .filter(|j| self.is_unfinished(*j))
-            .collect();
+        let unfinished = self.unfinished_jobs();
         let is_dependent = |j: &JobId| *j != id && self.depends_on(*j, id);
         let expected: BTreeSet<JobId> = unfinished.into_iter().filter(is_dependent).collect();
         self.set_state(id, State::Cancelled);
@@ -212,16 +222,15 @@
         }
     }
 
-    /// Builds the graph of a new leader, from the unfinished jobs in reverse order.
-    fn elect(&mut self) {
+    fn unfinished_jobs(&self) -> Vec<JobId> {
+        let ids = self.jobs.keys().copied();
+        ids.filter(|id| self.is_unfinished(*id)).collect()
+    }
+
+    /// Builds the graph of a new leader from the unfinished jobs, added in this order.
+    fn elect(&mut self, unfinished: impl IntoIterator<Item = JobId>) {
         self.graph = Dependencies::default();
-        let unfinished: Vec<JobId> = self
-            .jobs
-            .keys()
-            .copied()
-            .filter(|j| self.is_unfinished(*j))
-            .collect();
-        for id in unfinished.into_iter().rev() {
+        for id in unfinished {
             self.jobs
                 .get_mut(&id)
                 .expect("an unfinished job")
@@ -256,7 +265,12 @@
                         .cancellation_requested = true;
                 }
             }
-            Operation::Elect => self.elect(),
+            Operation::Elect => self.elect(self.unfinished_jobs().into_iter().rev()),
+            Operation::ElectInOrder(seed) => {
+                let mut unfinished = self.unfinished_jobs();
+                unfinished.sort_by_cached_key(|id| shuffle_key(*id, seed));
+                self.elect(unfinished);
+            }
             Operation::Resolve(which) => {
                 let unresolved: Vec<JobId> = self.graph.unresolved().iter().copied().collect();
                 if let Some(id) = unresolved.get(which % unresolved.len().max(1)) {
