Dependencies: a cancelled last job costs one visit of each job of its pipeline

What callers would see: the cancellation of a pipeline's last job stops the leader for good, as its submission did.

Cause: `lower_inherited`, which recomputes due times once a dependent is gone, took jobs from a stack and passed on a change before all dependents of a job had been recomputed: one visit for each path in the worst case.

Evidence, by `Dependencies::visits` before this change: cancelling the last job of a pipeline of 8, 12, 16 and 20 stages of two jobs took 511, 8,191, 131,071 and 2,097,151 visits of 17 to 41 jobs.

Test: `a_cancelled_last_job_causes_one_visit_of_each_job_of_its_pipeline`, up to 5,000 stages; failed before with 7 visits of 5 jobs at two stages.

--- a/src/core/state/dependencies/urgency.rs
+++ b/src/core/state/dependencies/urgency.rs
@@ -87,10 +87,14 @@
     }
 
     /// Recomputes the inherited urgency of jobs with fewer dependents than before, and
-    /// passes each change on to their dependencies.
+    /// passes each change on to their dependencies. Each job is visited at most once, after
+    /// all dependents whose urgency may change.
     pub(super) fn lower_inherited(&mut self, jobs: BTreeSet<JobId>) {
-        let mut stack: Vec<JobId> = jobs.into_iter().collect();
-        while let Some(job) = stack.pop() {
+        let mut queue = VisitQueue::default();
+        for job in jobs {
+            queue.insert(self.position(job), job);
+        }
+        while let Some(job) = queue.pop_last() {
             self.visits += 1;
             let dependents = self.dependents.get(&job).into_iter().flatten();
             let new = dependents
@@ -104,7 +108,9 @@
                 None => self.inherited.remove(&job),
             };
             let dependencies = self.nodes.get(&job).map(|node| &node.pending);
-            stack.extend(dependencies.into_iter().flatten());
+            for dependency in dependencies.into_iter().flatten() {
+                queue.insert(self.position(*dependency), *dependency);
+            }
         }
     }
 }
--- a/tests/dependencies/work.rs
+++ b/tests/dependencies/work.rs
@@ -155,3 +155,33 @@
         pipeline.check_inherited(&graph);
     }
 }
+
+// Guards against changes that are passed on once for each path through a pipeline when its
+// last job is cancelled and the others lose its due time.
+#[test]
+fn a_cancelled_last_job_causes_one_visit_of_each_job_of_its_pipeline() {
+    for pipeline in pipelines() {
+        let mut graph = Dependencies::default();
+        for number in 0..pipeline.job_count() {
+            pipeline.add_job(&mut graph, number);
+        }
+        let visits_before = graph.visits();
+        let last = job_id(pipeline.job_count() - 1);
+        assert!(graph.cancellation_stored(last).is_empty());
+        let visits = graph.visits() - visits_before;
+        assert!(
+            visits <= pipeline.job_count() as u64,
+            "{visits} visits of {} jobs, {:?} longer",
+            pipeline.job_count(),
+            pipeline.longer_job
+        );
+        for number in 0..2 * pipeline.stages {
+            let inherited = graph.inherited_urgency(job_id(number));
+            assert_eq!(
+                inherited.and_then(|urgency| urgency.due),
+                None,
+                "due time of job {number}"
+            );
+        }
+    }
+}
