Takeover: stored jobs are loaded dependents first, in one visit of each edge

What callers would see: a change of leader over a long pipeline in which each job has a due time takes longer with the square of its length.

Cause: jobs were added in the order of their ids, usually dependencies first. Each job then passes its due time on through all jobs before it, and a later job may lower all of them again.

Evidence, by `Dependencies::visits`: 1,000 stages of two jobs with a due time each take 1,000,998 visits in that order; the pipeline has 5,996 jobs and edges.

Fix: `ClusterModel::load_jobs` adds dependents before their dependencies. A job that is added finds no node of a dependency and passes its due time on to direct dependencies alone, once all its dependents are there.

Test: `a_new_leader_loads_a_pipeline_in_which_each_job_has_a_due_time_in_one_visit_of_each_edge` failed without the sorting with the first count above.

--- a/src/core/state/dependencies/mod.rs
+++ b/src/core/state/dependencies/mod.rs
@@ -23,4 +23,5 @@
 mod urgency;
 
 pub use graph::{Dependencies, DependencyOutcome, DependentJob};
+pub use order::ranks_dependents_first;
 pub use urgency::Urgency;
--- a/src/core/state/dependencies/order.rs
+++ b/src/core/state/dependencies/order.rs
@@ -10,7 +10,7 @@
 //! Jobs may be added in any order: a new leader reads them in the order of their ids, and
 //! a job that another controller stored may be added after its dependents.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use crate::core::state::dependencies::graph::Dependencies;
 use crate::wire::JobId;
@@ -97,3 +97,29 @@
         }
     }
 }
+
+/// Ranks of jobs, given with their dependencies: a job has a lower rank than those that it
+/// depends on. Jobs that are added to the graph by ascending rank pass their urgency on to
+/// their direct dependencies only, as those have no node yet.
+pub fn ranks_dependents_first(jobs: &BTreeMap<JobId, &[JobId]>) -> HashMap<JobId, usize> {
+    let mut dependents: HashMap<JobId, usize> = jobs.keys().map(|job| (*job, 0)).collect();
+    for dependency in jobs.values().copied().flatten() {
+        dependents.entry(*dependency).and_modify(|count| *count += 1);
+    }
+    let mut ranks = HashMap::new();
+    let without_dependents = jobs.keys().filter(|job| dependents[*job] == 0);
+    let mut stack: Vec<JobId> = without_dependents.copied().collect();
+    while let Some(job) = stack.pop() {
+        ranks.insert(job, ranks.len());
+        for dependency in jobs[&job] {
+            let Some(unranked) = dependents.get_mut(dependency) else {
+                continue;
+            };
+            *unranked -= 1;
+            if *unranked == 0 {
+                stack.push(*dependency);
+            }
+        }
+    }
+    ranks
+}
--- a/src/core/state/model/mod.rs
+++ b/src/core/state/model/mod.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+pub use self::replay::LoadedJob;
 use crate::core::state::config::SchedulerConfig;
 use crate::core::state::dependencies::Dependencies;
 use crate::core::state::fleet_state::FleetState;
--- a/src/core/state/model/replay.rs
+++ b/src/core/state/model/replay.rs
@@ -1,16 +1,42 @@
-//! Loading of what earlier terms stored: the segments of the write-ahead log, with the
-//! machines and attempts that they name, and the run-to-estimate ratios.
+//! Loading of what earlier terms stored: the unfinished jobs, the segments of the
+//! write-ahead log, with the machines and attempts that they name, and the run-to-estimate
+//! ratios.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::core::state::dependencies::ranks_dependents_first;
 use crate::core::state::machine::{Machine, MachinePhase};
 use crate::core::state::model::ClusterModel;
 use crate::core::state::slot::Slot;
+use crate::core::storage::record::JobRecord;
 use crate::core::storage::wal::{LogReplay, LoggedMachine};
-use crate::wire::{MachineId, TaskId};
+use crate::wire::{JobId, MachineId, TaskId};
+
+/// The stored record of an unfinished job.
+#[derive(Debug, Clone)]
+pub struct LoadedJob {
+    /// The record as an earlier term or another controller stored it.
+    pub record: JobRecord,
+    /// When the job was accepted, by the clock of this process.
+    pub arrival: Instant,
+}
 
 impl ClusterModel {
+    /// Adds the stored unfinished jobs, dependents before their dependencies. In the
+    /// opposite order a due time would be passed on through the whole graph each time that
+    /// a later job has an earlier one.
+    pub fn load_jobs(&mut self, mut jobs: Vec<LoadedJob>) {
+        let specs = jobs.iter().map(|job| &job.record.spec);
+        let dependencies: BTreeMap<JobId, &[JobId]> =
+            specs.map(|spec| (spec.id, spec.awaits.as_slice())).collect();
+        let ranks = ranks_dependents_first(&dependencies);
+        jobs.sort_by_key(|job| ranks.get(&job.record.spec.id).copied());
+        for job in jobs {
+            self.add_job(job.record, job.arrival);
+        }
+    }
+
     /// Loads the run-to-estimate ratios that an earlier term stored.
     pub fn load_run_time_ratios(&mut self, ratios: BTreeMap<String, f64>) {
         self.run_time_ratios = ratios;
--- a/src/leader/active_leader/takeover.rs
+++ b/src/leader/active_leader/takeover.rs
@@ -4,6 +4,7 @@
 
 use tracing::info;
 
+use crate::core::state::model::LoadedJob;
 use crate::core::storage::record::{self, JobRecord};
 use crate::core::ClusterModel;
 use crate::store::{KeyRead, StoreError};
@@ -29,9 +30,10 @@
         let types = store.get(record::MACHINE_TYPES_KEY).await?;
         let now = Moment::now();
         let mut model = self.model.lock();
-        for item in jobs {
-            self.load_stored_job(&mut model, item, now);
-        }
+        let jobs = jobs
+            .into_iter()
+            .filter_map(|item| self.parse_stored_job(item, now));
+        model.load_jobs(jobs.collect());
         for item in segments {
             self.load_log_segment(&mut model, item)?;
         }
@@ -45,18 +47,17 @@
         Ok(())
     }
 
-    fn load_stored_job(&self, model: &mut ClusterModel, item: KeyValue, now: Moment) {
+    fn parse_stored_job(&self, item: KeyValue, now: Moment) -> Option<LoadedJob> {
         self.writer.set_known_version(&item.key, item.version);
-        match serde_json::from_value::<JobRecord>(item.value) {
-            Ok(record) => {
-                let arrival = now.instant_of(record.accepted_at_ms).unwrap_or(now.steady);
-                model.add_job(record, arrival);
-            }
-            Err(_) => info!(
+        let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else {
+            info!(
                 key = item.key,
                 "a stored job record can't be parsed; the job is not loaded"
-            ),
-        }
+            );
+            return None;
+        };
+        let arrival = now.instant_of(record.accepted_at_ms).unwrap_or(now.steady);
+        Some(LoadedJob { record, arrival })
     }
 
     fn load_log_segment(&self, model: &mut ClusterModel, item: KeyValue) -> Result<(), StoreError> {
--- a/tests/dependencies/work.rs
+++ b/tests/dependencies/work.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bitternfold::core::state::dependencies::{Dependencies, DependentJob};
+use bitternfold::core::state::model::LoadedJob;
 use bitternfold::wire::*;
 
 use crate::fixtures::*;
@@ -185,3 +186,34 @@
         }
     }
 }
+
+// Guards against a takeover that passes due times on through the whole graph once for each job
+// that it loads.
+#[test]
+fn a_new_leader_loads_a_pipeline_in_which_each_job_has_a_due_time_in_one_visit_of_each_edge() {
+    const STAGES: u32 = 1_000;
+    let now = start();
+    let with_due_time = |number: u32, awaits: &[u32]| {
+        let mut record = job_awaiting(number, awaits);
+        record.spec.deadline_s = Some(1e6);
+        LoadedJob { record, arrival: now }
+    };
+    // In the order of their ids, as the state service lists them.
+    let mut jobs = vec![with_due_time(0, &[]), with_due_time(1, &[])];
+    for first in (2..2 * STAGES).step_by(2) {
+        let stage_before = [first - 2, first - 1];
+        jobs.extend([first, first + 1].map(|number| with_due_time(number, &stage_before)));
+    }
+    let edges: usize = jobs.iter().map(|job| job.record.spec.awaits.len()).sum();
+    let most = (jobs.len() + edges) as u64;
+    let mut model = model(7);
+    model.load_jobs(jobs);
+    let visits = model.dependencies().visits();
+    assert!(visits <= most, "{visits} visits, {most} jobs and edges");
+    assert!(model.dependencies().unresolved().is_empty());
+    // All later stages have to fit before the due time of the last ones.
+    let run_time = model.predict(&job(0, 1, 1.0));
+    let due = now + Duration::from_secs(1_000_000) - run_time * (STAGES - 1);
+    let inherited = model.dependencies().inherited_urgency(job_id(0));
+    assert_eq!(inherited.and_then(|urgency| urgency.due), Some(due));
+}
