Tests: submissions, polls and cancellations of a site have a method each

Site::submit, Site::poll and Site::cancel take the place of request_with_retries with a method, a path and a body.

--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -17,9 +17,7 @@
 
 /// Submits a job at a controller, which has to accept it.
 async fn check_accepted(site: &Site, controller: usize, body: Value) {
-    let (status, v) = site
-        .request_with_retries("POST", controller, "/v2/runs", Some(body))
-        .await;
+    let (status, v) = site.submit(controller, body).await;
     assert!(
         [200, 201].contains(&status),
         "at controller {controller}: {status} {v}"
@@ -37,9 +35,7 @@
 /// contains `reason`.
 async fn check_refused(site: &Site, controller: usize, n: u32, awaits: Value, status: u16, reason: &str) {
     let body = job_with_awaits(site, n, awaits.clone());
-    let (actual, v) = site
-        .request_with_retries("POST", controller, "/v2/runs", Some(body))
-        .await;
+    let (actual, v) = site.submit(controller, body).await;
     let error = v["error"].as_str().unwrap_or_default().to_owned();
     assert!(
         actual == status && error.contains(reason),
@@ -70,9 +66,8 @@
     for (awaits, reason) in impossible {
         check_refused(site, controller, first, awaits, 422, reason).await;
     }
-    let path = format!("/v2/runs/{}", job_id(first));
     assert_eq!(
-        site.request_with_retries("GET", controller, &path, None).await.0,
+        site.poll(controller, &job_id(first)).await.0,
         404,
         "a refused job is stored"
     );
@@ -109,24 +104,13 @@
     }
     // A job whose dependency is itself queued behind a running job stays queued.
     check_accepted(site, controller, site.job_awaiting(first + 5, 1, &[4, 5])).await;
-    let path = format!("/v2/runs/{}", job_id(first + 5));
-    let (_, v) = site.request_with_retries("GET", other, &path, None).await;
+    let (_, v) = site.poll(other, &job_id(first + 5)).await;
     assert_eq!(v["standing"], "queued");
     // A resubmission is recognized by its id before the rest of its body is checked.
     let mut resubmission = site.job_awaiting(first + 5, 1, &[999_999]);
-    assert_eq!(
-        site.request_with_retries("POST", controller, "/v2/runs", Some(resubmission.clone()))
-            .await
-            .0,
-        200
-    );
+    assert_eq!(site.submit(controller, resubmission.clone()).await.0, 200);
     resubmission["awaits"] = json!("x");
-    assert_eq!(
-        site.request_with_retries("POST", controller, "/v2/runs", Some(resubmission))
-            .await
-            .0,
-        200
-    );
+    assert_eq!(site.submit(controller, resubmission).await.0, 200);
 }
 
 #[test]
@@ -139,11 +123,7 @@
         check_accepted(&site, 0, site.job(1, 1)).await;
         site.wait_for_state(0, &job_id(1), "done").await;
         check_accepted(&site, 0, site.job(2, 1)).await;
-        let path = format!("/v2/runs/{}/cancel", job_id(2));
-        assert_eq!(
-            site.request_with_retries("POST", 0, &path, None).await.1["standing"],
-            "cancelled"
-        );
+        assert_eq!(site.cancel(0, &job_id(2)).await.1["standing"], "cancelled");
         let mut service = site.job(3, 1);
         service["sort"] = json!("daemon");
         check_accepted(&site, 0, service).await;
@@ -178,8 +158,7 @@
 async fn check_all_cancelled(site: &Site, jobs: std::ops::Range<u32>) {
     for controller in (0..3).filter(|controller| site.is_up(*controller)) {
         for n in jobs.clone() {
-            let path = format!("/v2/runs/{}", job_id(n));
-            let (status, v) = site.request_with_retries("GET", controller, &path, None).await;
+            let (status, v) = site.poll(controller, &job_id(n)).await;
             assert_eq!(
                 (status, &v["standing"]),
                 (200, &json!("cancelled")),
@@ -200,14 +179,11 @@
         }
         site.wait_for_state(0, &job_id(1), "running").await;
         for n in 2..6 {
-            let (_, v) = site
-                .request_with_retries("GET", 0, &format!("/v2/runs/{}", job_id(n)), None)
-                .await;
+            let (_, v) = site.poll(0, &job_id(n)).await;
             assert_eq!(v["standing"], "queued", "job {n} depends on a running job");
         }
         let follower = (site.leader().expect("a leader") + 1) % 3;
-        let path = format!("/v2/runs/{}/cancel", job_id(1));
-        let (_, v) = site.request_with_retries("POST", follower, &path, None).await;
+        let (_, v) = site.cancel(follower, &job_id(1)).await;
         assert_eq!(v["standing"], "cancelled");
         check_all_cancelled(&site, 1..6).await;
         // Records of a chain that no leader has read yet: only the first job is marked as
@@ -233,11 +209,7 @@
         let up = (0..3)
             .find(|controller| site.is_up(*controller))
             .expect("one is up");
-        let path = format!("/v2/runs/{}/cancel", job_id(54));
-        assert_eq!(
-            site.request_with_retries("POST", up, &path, None).await.1["standing"],
-            "cancelled"
-        );
+        assert_eq!(site.cancel(up, &job_id(54)).await.1["standing"], "cancelled");
         let began = Instant::now();
         for n in (1..6).chain(51..55) {
             while !site.state.has_key(&format!("final/{}", job_id(n))) {
@@ -261,9 +233,7 @@
             check_accepted(&site, n as usize % 3, site.job_awaiting(n, 1, &dependencies)).await;
         }
         let job_state = async |site: &Site, controller: usize, n: u32| -> String {
-            let (_, v) = site
-                .request_with_retries("GET", controller, &format!("/v2/runs/{}", job_id(n)), None)
-                .await;
+            let (_, v) = site.poll(controller, &job_id(n)).await;
             v["standing"].as_str().unwrap_or_default().to_owned()
         };
         let began = Instant::now();
--- a/tests/guest.rs
+++ b/tests/guest.rs
@@ -36,22 +36,18 @@
         .await;
         let mut array = job_of_small_tasks(&site, 0, 100_000);
         array["urgency"] = json!("best_effort");
-        let (status, body) = site
-            .request_with_retries("POST", 0, "/v2/runs", Some(array))
-            .await;
+        let (status, body) = site.submit(0, array).await;
         assert!([200, 201].contains(&status), "{body}");
         site.wait_for_state(1, "job-000000", "running").await;
         for n in 1..=SMALL_JOB_COUNT {
             let small = job_of_small_tasks(&site, n, 1);
-            site.request_with_retries("POST", n as usize % 3, "/v2/runs", Some(small))
-                .await;
+            site.submit(n as usize % 3, small).await;
         }
         // A job within its team's quota; the array and the small jobs are over quota.
         let mut urgent = site.job(900, 4);
         urgent["desk"] = json!("red");
         urgent["urgency"] = json!("high");
-        site.request_with_retries("POST", 2, "/v2/runs", Some(urgent))
-            .await;
+        site.submit(2, urgent).await;
         site.wait_for_state(0, "job-000900", "done").await;
         for n in 1..=SMALL_JOB_COUNT {
             site.wait_for_state(n as usize % 3, &format!("job-{n:06}"), "done")
@@ -74,9 +70,7 @@
             count_segments(&site)
         );
         // Once the array is cancelled, its tasks stop before the deadline for cancellations.
-        let (status, body) = site
-            .request_with_retries("POST", 2, "/v2/runs/job-000000/cancel", None)
-            .await;
+        let (status, body) = site.cancel(2, "job-000000").await;
         assert_eq!((status, &body["standing"]), (200, &json!("cancelled")));
         let cancelled_at = Instant::now();
         site.wait_for_running_tasks(|running| running == 0).await;
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -210,21 +210,16 @@
 fn every_controller_validates_alike_and_recognizes_a_resubmission_by_its_id() {
     run_async_test(async {
         let mut site = Site::start(Duration::from_millis(300)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 2)))
-            .await;
+        site.submit(0, site.job(1, 2)).await;
         site.wait_for_state(0, "job-000001", "done").await;
         let check = async |site: &Site, controller: usize| {
             for (name, value) in malformed_fields().into_iter().step_by(7) {
-                let (status, _) = site
-                    .request_with_retries("POST", controller, "/v2/runs", Some(submission_with(name, value)))
-                    .await;
+                let (status, _) = site.submit(controller, submission_with(name, value)).await;
                 assert_eq!(status, 400, "{name} at controller {controller}");
             }
             for body in impossible_submissions().into_iter().step_by(3) {
                 assert_eq!(
-                    site.request_with_retries("POST", controller, "/v2/runs", Some(body))
-                        .await
-                        .0,
+                    site.submit(controller, body).await.0,
                     422,
                     "at controller {controller}"
                 );
@@ -233,9 +228,7 @@
                 json!({"name_id": "job-000001"}),
                 json!({"name_id": "job-000001", "cpus": "x"}),
             ] {
-                let (status, v) = site
-                    .request_with_retries("POST", controller, "/v2/runs", Some(body))
-                    .await;
+                let (status, v) = site.submit(controller, body).await;
                 assert_eq!(
                     (status, &v["standing"]),
                     (200, &json!("done")),
@@ -256,9 +249,7 @@
                 "at controller {controller}"
             );
             assert_eq!(
-                site.request_with_retries("GET", controller, "/v2/runs/job-000007", None)
-                    .await
-                    .0,
+                site.poll(controller, "job-000007").await.0,
                 404,
                 "a refused job was stored"
             );
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -39,9 +39,7 @@
         if n > 1 {
             body["awaits"] = json!([format!("job-{:06}", n - 1)]);
         }
-        let (status, view) = site
-            .request_with_retries("POST", n as usize % 3, "/v2/runs", Some(body))
-            .await;
+        let (status, view) = site.submit(n as usize % 3, body).await;
         assert!([200, 201].contains(&status), "{view}");
         if n == jobs / 2 {
             site.state.end_leases();
@@ -109,9 +107,7 @@
         site.state.limit_sizes(4096, 2);
         submit_concurrently(&site, 1..=40).await;
         // An array job whose placements fill several segments of the write-ahead log at once.
-        let (status, view) = site
-            .request_with_retries("POST", 0, "/v2/runs", Some(site.job(41, 1500)))
-            .await;
+        let (status, view) = site.submit(0, site.job(41, 1500)).await;
         assert!([200, 201].contains(&status), "{view}");
         assert_eq!(site.wait_for_state(0, "job-000041", "done").await["done"], 1500);
         assert!(
@@ -171,9 +167,7 @@
         assert!(record.to_string().len() > 2048);
         site.state.put_directly("jobs/job-000001", record);
         site.state.limit_sizes(2048, 4);
-        let (status, view) = site
-            .request_with_retries("POST", 0, "/v2/runs/job-000001/cancel", None)
-            .await;
+        let (status, view) = site.cancel(0, "job-000001").await;
         assert_eq!((status, &view["standing"]), (200, &json!("cancelled")));
         assert_eq!(site.state.oversized_transactions(), 0);
         for controller in 0..3 {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -23,16 +23,12 @@
     // whole lease.
     run_async_test(async {
         let site = Site::start(Duration::from_secs(600)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 4)))
-            .await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(2, 3)))
-            .await;
+        site.submit(0, site.job(1, 4)).await;
+        site.submit(0, site.job(2, 3)).await;
         site.wait_for_running_tasks(|n| n >= 7).await;
         site.cloud.reject_commands.store(true, Ordering::Relaxed);
         site.cloud.suppress_heartbeats.store(true, Ordering::Relaxed);
-        let (status, v) = site
-            .request_with_retries("POST", 0, "/v2/runs/job-000001/cancel", None)
-            .await;
+        let (status, v) = site.cancel(0, "job-000001").await;
         assert_eq!((status, v["standing"].as_str()), (200, Some("cancelled")));
         site.state.set_outage(true);
         let began = Instant::now();
@@ -65,23 +61,17 @@
     // followers, cancellations, the write-ahead log and final states.
     run_async_test(async {
         let site = Site::start(Duration::from_millis(400)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 2)))
-            .await;
+        site.submit(0, site.job(1, 2)).await;
         site.wait_for_state(0, "job-000001", "done").await;
         site.state.set_late_writes(Some(LateWrites {
             every: 2,
             delay: Duration::from_millis(2500),
         }));
         for n in 2..8 {
-            let (status, v) = site
-                .request_with_retries("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 3)))
-                .await;
+            let (status, v) = site.submit(n as usize % 3, site.job(n, 3)).await;
             assert!([200, 201].contains(&status), "{v}");
             if n % 3 == 0 {
-                let path = format!("/v2/runs/job-{n:06}/cancel");
-                let (status, v) = site
-                    .request_with_retries("POST", n as usize % 2, &path, None)
-                    .await;
+                let (status, v) = site.cancel(n as usize % 2, &format!("job-{n:06}")).await;
                 assert_eq!(status, 200, "{v}");
             }
         }
@@ -90,9 +80,7 @@
             let id = format!("job-{n:06}");
             let began = Instant::now();
             let v = loop {
-                let (status, v) = site
-                    .request_with_retries("GET", 1, &format!("/v2/runs/{id}"), None)
-                    .await;
+                let (status, v) = site.poll(1, &id).await;
                 assert_eq!(status, 200, "{id} must be known: {v}");
                 if ["done", "cancelled"].contains(&v["standing"].as_str().unwrap_or_default()) {
                     break v;
@@ -117,9 +105,7 @@
         site.state.end_leases();
         for controller in 0..3 {
             for (id, confirmed) in &confirmed_states {
-                let (status, v) = site
-                    .request_with_retries("GET", controller, &format!("/v2/runs/{id}"), None)
-                    .await;
+                let (status, v) = site.poll(controller, id).await;
                 assert_eq!(
                     (status, &v["standing"]),
                     (200, &confirmed["standing"]),
@@ -138,8 +124,7 @@
     // leads, while another leader has confirmed to a user that the job is cancelled or done.
     run_async_test(async {
         let site = Site::start(Duration::from_secs(600)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 2)))
-            .await;
+        site.submit(0, site.job(1, 2)).await;
         site.wait_for_state(0, "job-000001", "running").await;
         let leader = site.leader().expect("a leader");
         for resubmits in [false, true] {
@@ -170,18 +155,14 @@
     // a cancellation of which the leader doesn't know that it is stored.
     run_async_test(async {
         let site = Site::start(Duration::from_secs(600)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 2)))
-            .await;
+        site.submit(0, site.job(1, 2)).await;
         site.wait_for_state(0, "job-000001", "running").await;
         let leader = site.leader().expect("a leader");
         site.state.set_late_writes(Some(LateWrites {
             every: 1,
             delay: Duration::ZERO,
         }));
-        let path = "/v2/runs/job-000001/cancel";
-        let (status, v) = site
-            .request_with_retries("POST", (leader + 1) % 3, path, None)
-            .await;
+        let (status, v) = site.cancel((leader + 1) % 3, "job-000001").await;
         assert_eq!((status, v["standing"].as_str()), (200, Some("cancelled")));
         for i in 0..30 {
             let (status, v) = send_request(
@@ -208,8 +189,7 @@
     // or be cancelled; here it is cancelled.
     run_async_test(async {
         let site = Site::start(Duration::from_secs(600)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 2)))
-            .await;
+        site.submit(0, site.job(1, 2)).await;
         site.wait_for_state(0, "job-000001", "running").await;
         let value = site.state.value("jobs/job-000001").expect("stored");
         site.state.put_directly("jobs/job-000001", value);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -90,8 +90,7 @@
             format!("{text}\n[cluster.machine_limits]\nfd_limit = 64\n")
         })
         .await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 3)))
-            .await;
+        site.submit(0, site.job(1, 3)).await;
         site.kill_controller(1);
         site.kill_controller(2);
         let load = Arc::new(WorkerLoad::default());
@@ -111,9 +110,7 @@
             load.closes.load(Ordering::Relaxed) > 0,
             "no worker had to close its connection"
         );
-        let (status, v) = site
-            .request_with_retries("POST", 0, "/v2/runs", Some(site.job(2, 3)))
-            .await;
+        let (status, v) = site.submit(0, site.job(2, 3)).await;
         assert!([200, 201].contains(&status), "{v}");
         assert_eq!(send_request("GET", site.api_addrs[0], "/up", None).await.0, 200);
         site.wait_for_state(0, "job-000002", "done").await;
@@ -226,8 +223,7 @@
         for controller in 0..3 {
             site.request_with_retries("GET", controller, "/up", None).await;
         }
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 3)))
-            .await;
+        site.submit(0, site.job(1, 3)).await;
         let mut requests = tokio::task::JoinSet::new();
         let before = site.state.key_reads();
         let began = Instant::now();
@@ -238,9 +234,7 @@
                 (n, response.map(|(status, _)| status).map_err(|e| e.to_string()))
             });
         }
-        let (status, v) = site
-            .request_with_retries("POST", 1, "/v2/runs", Some(site.job(2, 3)))
-            .await;
+        let (status, v) = site.submit(1, site.job(2, 3)).await;
         assert!([200, 201].contains(&status), "{v}");
         let responses = requests.join_all().await;
         let reads = site.state.key_reads() - before;
@@ -287,8 +281,7 @@
                 .await;
         }
         for n in 0..6 {
-            site.request_with_retries("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 40)))
-                .await;
+            site.submit(n as usize % 3, site.job(n, 40)).await;
         }
         site.wait_for_state(0, "job-000000", "running").await;
         for round in 0..3 {
@@ -320,11 +313,9 @@
     run_async_test(async {
         let mut site = Site::start(Duration::from_millis(300)).await;
         for n in 0..4 {
-            site.request_with_retries("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 5)))
-                .await;
+            site.submit(n as usize % 3, site.job(n, 5)).await;
         }
-        site.request_with_retries("POST", 1, "/v2/runs/job-000003/cancel", None)
-            .await;
+        site.cancel(1, "job-000003").await;
         // Ends a term, so that there are also copies of an earlier leader's requests.
         site.state.end_leases();
         site.kill_controller(0);
@@ -365,13 +356,9 @@
         for (n, state) in final_states.iter().enumerate() {
             for controller in 0..3 {
                 let job = format!("job-{n:06}");
-                let (status, v) = site
-                    .request_with_retries("POST", controller, "/v2/runs", Some(site.job(n as u32, 5)))
-                    .await;
+                let (status, v) = site.submit(controller, site.job(n as u32, 5)).await;
                 assert_eq!((status, &v["standing"]), (200, &json!(state)));
-                let (status, v) = site
-                    .request_with_retries("POST", controller, &format!("/v2/runs/{job}/cancel"), None)
-                    .await;
+                let (status, v) = site.cancel(controller, &job).await;
                 assert_eq!((status, &v["standing"]), (200, &json!(state)));
                 site.wait_for_state(controller, &job, state).await;
             }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -18,68 +18,32 @@
 fn every_controller_serves_users_and_a_final_state_stays() {
     run_async_test(async {
         let site = Site::start(Duration::from_millis(300)).await;
-        let (status, view) = site
-            .request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 5)))
-            .await;
+        let (status, view) = site.submit(0, site.job(1, 5)).await;
         assert!([200, 201].contains(&status), "{view}");
         for at in 0..3 {
             // A repeated submission of an accepted job gets 200, even if its body is invalid.
             let mut invalid = site.job(1, 5);
             invalid["cpus"] = json!("many");
-            let (status, view) = site
-                .request_with_retries("POST", at, "/v2/runs", Some(invalid))
-                .await;
+            let (status, view) = site.submit(at, invalid).await;
             assert_eq!((status, &view["name_id"]), (200, &json!("job-000001")));
             let mut invalid = site.job(2, 5);
             invalid["cpus"] = json!(-2.0);
-            assert_eq!(
-                site.request_with_retries("POST", at, "/v2/runs", Some(invalid))
-                    .await
-                    .0,
-                400
-            );
+            assert_eq!(site.submit(at, invalid).await.0, 400);
             let mut invalid = site.job(2, 5);
             invalid["desk"] = json!("green");
-            assert_eq!(
-                site.request_with_retries("POST", at, "/v2/runs", Some(invalid))
-                    .await
-                    .0,
-                422
-            );
-            assert_eq!(
-                site.request_with_retries("POST", at, "/v2/runs", Some(json!([1])))
-                    .await
-                    .0,
-                400
-            );
-            assert_eq!(
-                site.request_with_retries("GET", at, "/v2/runs/job-777777", None)
-                    .await
-                    .0,
-                404
-            );
-            assert_eq!(
-                site.request_with_retries("POST", at, "/v2/runs/job-777777/cancel", None)
-                    .await
-                    .0,
-                404
-            );
+            assert_eq!(site.submit(at, invalid).await.0, 422);
+            assert_eq!(site.submit(at, json!([1])).await.0, 400);
+            assert_eq!(site.poll(at, "job-777777").await.0, 404);
+            assert_eq!(site.cancel(at, "job-777777").await.0, 404);
             assert_eq!(send_request("GET", site.api_addrs[at], "/up", None).await.0, 200);
         }
         let mut huge = site.job(3, 1);
         huge["kit"] = json!("x".repeat(70_000));
-        assert_eq!(
-            site.request_with_retries("POST", 1, "/v2/runs", Some(huge))
-                .await
-                .0,
-            413
-        );
+        assert_eq!(site.submit(1, huge).await.0, 413);
         let view = site.wait_for_state(2, "job-000001", "done").await;
         assert_eq!(view["done"], 5);
         // A cancellation doesn't change a final state.
-        let (status, view) = site
-            .request_with_retries("POST", 1, "/v2/runs/job-000001/cancel", None)
-            .await;
+        let (status, view) = site.cancel(1, "job-000001").await;
         assert_eq!((status, &view["standing"]), (200, &json!("done")));
         assert!(site.cloud.tasks_run_twice.lock().is_empty());
     });
@@ -89,18 +53,13 @@
 fn a_cancelled_job_stays_cancelled_after_a_change_of_leader() {
     run_async_test(async {
         let site = Site::start(Duration::from_secs(600)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 4)))
-            .await;
+        site.submit(0, site.job(1, 4)).await;
         site.wait_for_state(0, "job-000001", "running").await;
-        let (status, view) = site
-            .request_with_retries("POST", 1, "/v2/runs/job-000001/cancel", None)
-            .await;
+        let (status, view) = site.cancel(1, "job-000001").await;
         assert_eq!((status, &view["standing"]), (200, &json!("cancelled")));
         site.state.end_leases();
         for at in 0..3 {
-            let (_, view) = site
-                .request_with_retries("GET", at, "/v2/runs/job-000001", None)
-                .await;
+            let (_, view) = site.poll(at, "job-000001").await;
             assert_eq!(view["standing"], "cancelled", "at controller {at}");
         }
     });
@@ -111,8 +70,7 @@
     run_async_test(async {
         let mut site = Site::start(Duration::from_millis(700)).await;
         for n in 0..4 {
-            site.request_with_retries("POST", n as usize % 3, "/v2/runs", Some(site.job(n, 6)))
-                .await;
+            site.submit(n as usize % 3, site.job(n, 6)).await;
         }
         site.wait_for_state(0, "job-000000", "running").await;
         site.kill_controller(0);
@@ -121,9 +79,7 @@
         site.start_controller(0);
         site.start_controller(1);
         site.state.end_leases();
-        let (_, view) = site
-            .request_with_retries("POST", 2, "/v2/runs", Some(site.job(9, 3)))
-            .await;
+        let (_, view) = site.submit(2, site.job(9, 3)).await;
         assert_eq!(view["name_id"], "job-000009");
         // During the outage no state can be read, so a submission gets 503 without delay.
         site.state.set_outage(true);
@@ -156,8 +112,7 @@
     run_async_test(async {
         let mut site = Site::start(Duration::from_millis(500)).await;
         for n in 0..3 {
-            site.request_with_retries("POST", n as usize, "/v2/runs", Some(site.job(n, 4)))
-                .await;
+            site.submit(n as usize, site.job(n, 4)).await;
         }
         let leader = site.leader().expect("a leader");
         site.state.set_controller_refused(leader, true);
@@ -168,14 +123,10 @@
         }
         // The refused controller can't read who leads, but learns it from the other
         // controllers and so serves its users.
-        let (status, _) = site
-            .request_with_retries("POST", leader, "/v2/runs", Some(site.job(3, 4)))
-            .await;
+        let (status, _) = site.submit(leader, site.job(3, 4)).await;
         assert!([200, 201].contains(&status));
         for n in 0..4 {
-            let (status, view) = site
-                .request_with_retries("GET", leader, &format!("/v2/runs/job-{n:06}"), None)
-                .await;
+            let (status, view) = site.poll(leader, &format!("job-{n:06}")).await;
             assert_eq!(status, 200, "{view}");
         }
         // The next leader is killed and restarted within a fraction of a second, and its
@@ -206,12 +157,7 @@
             }
         }
         for at in 0..3 {
-            assert_eq!(
-                site.request_with_retries("GET", at, "/v2/runs/job-777777", None)
-                    .await
-                    .0,
-                404
-            );
+            assert_eq!(site.poll(at, "job-777777").await.0, 404);
         }
         assert!(
             began.elapsed() < Duration::from_secs(60),
@@ -228,8 +174,7 @@
     // meantime is read again, and the job's final state is stored nevertheless.
     run_async_test(async {
         let site = Site::start(Duration::from_millis(1500)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 3)))
-            .await;
+        site.submit(0, site.job(1, 3)).await;
         site.wait_for_state(0, "job-000001", "running").await;
         let spec: bitternfold::wire::JobSpec = serde_json::from_value(site.job(1, 3)).expect("a job");
         let overwritten = json!({"spec": spec, "at": bitternfold::clock::unix_time_ms()});
--- a/tests/status_requests.rs
+++ b/tests/status_requests.rs
@@ -31,8 +31,7 @@
     // once needs neither the leader nor the state service to return it again.
     run_async_test(async {
         let mut site = Site::start(Duration::from_millis(200)).await;
-        site.request_with_retries("POST", 0, "/v2/runs", Some(site.job(1, 2)))
-            .await;
+        site.submit(0, site.job(1, 2)).await;
         for at in 0..3 {
             site.wait_for_state(at, "job-000001", "done").await;
         }
@@ -72,7 +71,7 @@
         // So large that it is unlikely to be done before the polls are sent.
         let mut long = site.job(1, 40);
         long["expected_s"] = serde_json::json!(30.0);
-        site.request_with_retries("POST", 0, "/v2/runs", Some(long)).await;
+        site.submit(0, long).await;
         site.wait_for_state(0, "job-000001", "running").await;
         let leader = site.leader().expect("a leader");
         let followers: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
@@ -92,9 +91,7 @@
             responses.iter().all(|(status, _)| [200, 503].contains(status)),
             "200 or 503 only: {responses:?}"
         );
-        let (status, view) = site
-            .request_with_retries("POST", followers[0], "/v2/runs", Some(site.job(2, 2)))
-            .await;
+        let (status, view) = site.submit(followers[0], site.job(2, 2)).await;
         assert!([200, 201].contains(&status), "{view}");
         site.wait_for_state(followers[1], "job-000002", "done").await;
         site.wait_for_state(followers[0], "job-000001", "done").await;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -209,13 +209,29 @@
         }
     }
 
+    /// Submits a job at controller `at`, as [`request_with_retries`](Self::request_with_retries).
+    pub async fn submit(&self, at: usize, body: Value) -> (u16, Value) {
+        self.request_with_retries("POST", at, "/v2/runs", Some(body))
+            .await
+    }
+
+    /// Polls a job at controller `at`, as [`request_with_retries`](Self::request_with_retries).
+    pub async fn poll(&self, at: usize, job: &str) -> (u16, Value) {
+        let path = format!("/v2/runs/{job}");
+        self.request_with_retries("GET", at, &path, None).await
+    }
+
+    /// Cancels a job at controller `at`, as [`request_with_retries`](Self::request_with_retries).
+    pub async fn cancel(&self, at: usize, job: &str) -> (u16, Value) {
+        let path = format!("/v2/runs/{job}/cancel");
+        self.request_with_retries("POST", at, &path, None).await
+    }
+
     /// Polls a job at controller `at` until it has this state; returns the response's body.
     pub async fn wait_for_state(&self, at: usize, job: &str, state: &str) -> Value {
         let began = Instant::now();
         loop {
-            let (status, view) = self
-                .request_with_retries("GET", at, &format!("/v2/runs/{job}"), None)
-                .await;
+            let (status, view) = self.poll(at, job).await;
             assert_eq!(status, 200, "{job}: {view}");
             if view["standing"] == state {
                 return view;
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -139,18 +139,11 @@
 
     /// Submits a job to controller `at`, and checks that all running controllers know it.
     async fn submit(&self, at: usize, body: Value) {
-        let (status, view) = self
-            .site
-            .request_with_retries("POST", at, "/v2/runs", Some(body.clone()))
-            .await;
+        let (status, view) = self.site.submit(at, body.clone()).await;
         assert!([200, 201].contains(&status), "{status} {view}");
-        let path = format!("/v2/runs/{}", body["name_id"].as_str().expect("an id"));
+        let id = body["name_id"].as_str().expect("an id");
         for other in (0..3).filter(|i| self.processes[*i].is_some()) {
-            assert_eq!(
-                self.site.request_with_retries("GET", other, &path, None).await.0,
-                200,
-                "at {other}"
-            );
+            assert_eq!(self.site.poll(other, id).await.0, 200, "at {other}");
         }
     }
 
@@ -207,9 +200,8 @@
         .await;
     cluster.submit(2, cluster.site.job_awaiting(22, 2, &[4])).await;
     cluster.wait_for_done(20..=21).await;
-    let path = format!("/v2/runs/{}/cancel", job_id(4));
     assert_eq!(
-        cluster.site.request_with_retries("POST", 1, &path, None).await.1["standing"],
+        cluster.site.cancel(1, &job_id(4)).await.1["standing"],
         "cancelled"
     );
     for at in 0..3 {
--- a/tests/withheld.rs
+++ b/tests/withheld.rs
@@ -56,7 +56,7 @@
         let mut job = site.job(1, FILLER_TASKS);
         job["cpus"] = 8.0.into();
         job["yard"] = "north".into();
-        let (status, body) = site.request_with_retries("POST", 0, "/v2/runs", Some(job)).await;
+        let (status, body) = site.submit(0, job).await;
         assert_eq!(status, 201, "{body}");
         site.wait_for_running_tasks(|n| n >= MIN_RUNNING).await;
         let idle_machines = site.cloud.idle_machines();
@@ -68,8 +68,7 @@
             .collect();
 
         site.cloud.hang_machines(&busy_machines);
-        let path = format!("/v2/runs/{filler_job}/cancel");
-        assert_eq!(site.request_with_retries("POST", 0, &path, None).await.0, 200);
+        assert_eq!(site.cancel(0, &filler_job).await.0, 200);
         wait_until("the sockets for commands are taken", || {
             site.cloud.hanging_commands() >= COMMAND_SOCKETS
         })
@@ -77,16 +76,10 @@
 
         let mut job = site.job(2, 1);
         job["yard"] = "south".into();
-        assert_eq!(
-            site.request_with_retries("POST", 0, "/v2/runs", Some(job))
-                .await
-                .0,
-            201
-        );
+        assert_eq!(site.submit(0, job).await.0, 201);
         wait_until("the task is placed", || site.state.log_contains(&waiting_job)).await;
         sleep(Duration::from_millis(200)).await;
-        let path = format!("/v2/runs/{waiting_job}/cancel");
-        assert_eq!(site.request_with_retries("POST", 0, &path, None).await.0, 200);
+        assert_eq!(site.cancel(0, &waiting_job).await.0, 200);
         let started_before = site.cloud.start_count(&waiting_job);
 
         // By then every waiting command has been sent or given up.
