--- a/src/core/state/dependencies/order.rs
+++ b/src/core/state/dependencies/order.rs
@@ -7,8 +7,9 @@
 //! Without that order it might visit a job once for each path to it, and the number of
 //! paths grows exponentially with the length of a pipeline.
 //!
-//! Jobs may be added in any order: a new leader reads them in the order of their ids, and
-//! a job that another controller stored may be added after its dependents.
+//! Jobs may be added in any order: users submit dependencies first, a new leader loads
+//! dependents first, and a job that another controller stored may be added at any time
+//! after its dependents.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
@@ -17,7 +18,7 @@
 
 /// Position of the jobs that have no node.
 const POSITION_WITHOUT_NODE: i64 = i64::MIN;
-/// Position of a node of which neither dependencies nor dependents have a position.
+/// Position of a node whose dependencies and dependents all have no node.
 pub(super) const FIRST_POSITION: i64 = 0;
 
 /// Jobs that a traversal has yet to visit, each once, with their positions.
