--- a/review/kit-2/cloud.py
+++ b/review/kit-2/cloud.py
@@ -37,8 +37,9 @@
     async def add(self, rig, yard, loaners, boot_s):
         self.next_name += 1
         machine = Machine(self, "i-%06d" % self.next_name, rig, yard, loaners)
+        machine.address = await machine.server.start()
         self.machines[machine.name] = machine
-        await machine.begin(boot_s)
+        machine.begin(boot_s)
         return machine
 
     def remove(self, name):
@@ -143,8 +144,7 @@
         self.changed = asyncio.Event()
         self.node = self.random.randrange(len(self.world.nodes))
 
-    async def begin(self, boot_s):
-        self.address = await self.server.start("127.0.0.1")
+    def begin(self, boot_s):
         if boot_s > 0:
             asyncio.create_task(self._boot(boot_s))
         else:
--- a/review/kit-2/world.py
+++ b/review/kit-2/world.py
@@ -377,11 +377,13 @@
     troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def timed():
+        # Ends its processes also when it is told to end itself.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         return await asyncio.wait_for(play(os.path.join(folder, "record.txt"), troubled), limit_s)
 
     try:
         broken = asyncio.run(timed())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         print("could not run: %s" % (error or type(error).__name__))
         sys.exit(2)
     for line in broken:
