--- a/review/kit-2/world.py
+++ b/review/kit-2/world.py
@@ -29,10 +29,14 @@
 FINAL = ("done", "cancelled")
 
 
-def free_port():
+def free_address(index):
+    """An address on a loopback IP of its own, so that no connection of another program takes
+    the port of a controller that is down."""
+    pid = os.getpid()
+    host = "127.%d.%d.%d" % (100 + index, pid // 250 % 250, 1 + pid % 250)
     with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
+        found.bind((host, 0))
+        return "%s:%d" % (host, found.getsockname()[1])
 
 
 class Node:
@@ -41,7 +45,7 @@
     def __init__(self, world, index):
         self.world, self.index, self.name = world, index, "croft-%d" % index
         self.zone = ZONES[index]
-        self.api, self.back = "127.0.0.1:%d" % free_port(), "127.0.0.1:%d" % free_port()
+        self.api, self.back = free_address(index), free_address(index)
         self.process, self.stopped = None, False
 
     def start(self):
