--- a/review/kit-2/world.py
+++ b/review/kit-2/world.py
@@ -113,7 +113,7 @@
         return time.monotonic() - self.began
 
     def note(self, who, what):
-        if self.record:
+        if self.record and not self.record.closed:
             self.record.write("%8.3f %-9s %s\n" % (self.now(), who, what))
 
     def breaks(self, rule, what):
