Status: renewals, failed confirmations and walks over dependencies are logged

Change: debug lines with the duration of each renewal of the leader's lease, the wait and outcome of each confirmation that failed, and the number of jobs that a walk over dependencies looked up, also if it was abandoned.

--- a/src/controller/job_lookup.rs
+++ b/src/controller/job_lookup.rs
@@ -5,6 +5,9 @@
 //! dependent jobs long before their own records say so.
 
 use std::collections::{HashSet, VecDeque};
+use std::time::Instant;
+
+use tracing::debug;
 
 use crate::controller::Controller;
 use crate::core::storage::record::{self, FinalRecord, JobRecord};
@@ -25,6 +28,32 @@
     NeverAccepted,
 }
 
+/// How many jobs a walk over dependencies has looked up, one after the other. Logged when
+/// the walk ends, also if it is abandoned because the user no longer waits.
+struct DependencyWalk {
+    began: Instant,
+    lookups: u32,
+}
+
+impl DependencyWalk {
+    fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            lookups: 0,
+        }
+    }
+}
+
+impl Drop for DependencyWalk {
+    fn drop(&mut self) {
+        let took_ms = self.began.elapsed().as_millis() as u64;
+        debug!(
+            lookups = self.lookups,
+            took_ms, "stored dependencies of a job visited"
+        );
+    }
+}
+
 impl Controller {
     /// Reads a job from the state service and caches a final state. The key of the
     /// unfinished job is read first, because a job moves from there to the key of the
@@ -62,13 +91,17 @@
     /// Whether one of the jobs, or any job that they depend on directly or indirectly, is
     /// cancelled.
     async fn any_cancelled(&self, jobs: &[JobId]) -> Result<bool, StoreError> {
+        let mut work = DependencyWalk::new();
         let mut visited: HashSet<JobId> = jobs.iter().copied().collect();
         let mut to_visit: VecDeque<JobId> = jobs.iter().copied().collect();
         while let Some(id) = to_visit.pop_front() {
             let cached = self.final_states().status(id);
             let found = match cached {
                 Some(status) => StoredJob::Finished(status),
-                None => self.look_up_job(id).await?,
+                None => {
+                    work.lookups += 1;
+                    self.look_up_job(id).await?
+                }
             };
             match found {
                 StoredJob::Finished(status) if status.state == JobState::Cancelled => return Ok(true),
--- a/src/leader/active_leader/lease_renewal.rs
+++ b/src/leader/active_leader/lease_renewal.rs
@@ -3,7 +3,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout};
@@ -104,6 +104,8 @@
                 .renew_lease(self.lease, lifetime / RENEWAL_TIMEOUT_DIVISOR);
             let pause = match renewal.await {
                 Ok(()) => {
+                    let took_ms = sent.steady.elapsed().as_millis() as u64;
+                    debug!(number, took_ms, "leader's lease renewed");
                     self.authority.lock().renewed(sent);
                     self.renewals.finish(number, RenewalOutcome::Renewed);
                     lifetime / RENEWAL_INTERVAL_DIVISOR
@@ -113,7 +115,8 @@
                     return self.end_term();
                 }
                 Err(error) => {
-                    debug!(%error, "renewal of the leader's lease failed, retrying");
+                    let took_ms = sent.steady.elapsed().as_millis() as u64;
+                    debug!(number, took_ms, %error, "renewal of the leader's lease failed, retrying");
                     self.renewals.finish(number, RenewalOutcome::Failed);
                     lifetime / RETRY_INTERVAL_DIVISOR
                 }
@@ -130,6 +133,18 @@
     /// with the process. Without the confirmation, a user to whom another leader has
     /// confirmed a newer state could get an older one from here.
     pub(super) async fn confirm_leadership(&self) -> bool {
-        self.renewals.wait_for_new_renewal().await == Some(RenewalOutcome::Renewed)
+        let began = Instant::now();
+        let outcome = self.renewals.wait_for_new_renewal().await;
+        let is_confirmed = outcome == Some(RenewalOutcome::Renewed);
+        if !is_confirmed {
+            let waited_ms = began.elapsed().as_millis() as u64;
+            debug!(
+                term = self.term,
+                waited_ms,
+                ?outcome,
+                "leadership could not be confirmed"
+            );
+        }
+        is_confirmed
     }
 }
