Leader: a poll waits for the renewal that confirms it, however slow the state service

Callers saw: while the state service took 0.5 to 0.6 s for each response, the leader answered every poll of an unfinished job with 503, "leadership can't be confirmed now", though it led all the time.

Cause: a response from memory waits for a renewal of the lease that began after the question. The wait was given up after 500 ms, which is shorter than one such renewal, and one in progress has to finish first.

Change: the wait is bounded by what is useful to the user, who waits 2 s for a poll; a renewal has a timeout of its own (a third of the lease), so that the wait ends within two of these. A renewal that fails still ends it at once.

--- a/src/leader/active_leader/lease_renewal.rs
+++ b/src/leader/active_leader/lease_renewal.rs
@@ -10,6 +10,7 @@
 use tracing::{debug, info};
 
 use crate::clock::read_clocks;
+use crate::response::MAX_POLL_TIME;
 use crate::store::StoreError;
 
 use super::ActiveLeader;
@@ -17,8 +18,6 @@
 /// Share of the state service's request rate that may be used for renewals sent
 /// early because a confirmation waits for one.
 const CONFIRMATION_SHARE: f64 = 0.1;
-/// How long a response may wait for the confirmation of leadership.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// The timeout of a renewal is the lifetime of the lease divided by this.
 const RENEWAL_TIMEOUT_DIVISOR: u32 = 3;
 /// The pause after a successful renewal is the lifetime divided by this.
@@ -77,13 +76,14 @@
 
     /// Requests a renewal and waits for one that begins after this call, so that its
     /// success shows that this controller still led at the time of the call. `None`: none
-    /// has finished within [`CONFIRMATION_TIMEOUT`].
+    /// has finished within [`MAX_POLL_TIME`]. Before that renewal begins, one in progress has
+    /// to finish, so the wait is up to twice as long as the state service takes to respond.
     async fn wait_for_new_renewal(&self) -> Option<RenewalOutcome> {
         let begun_before = self.begun.load(Ordering::Relaxed);
         let mut last_finished = self.last_finished.subscribe();
         self.renewal_requested.notify_one();
         let new_renewal = last_finished.wait_for(|renewal| renewal.number > begun_before);
-        let renewal = timeout(CONFIRMATION_TIMEOUT, new_renewal).await.ok()?.ok()?;
+        let renewal = timeout(MAX_POLL_TIME, new_renewal).await.ok()?.ok()?;
         Some(renewal.outcome)
     }
 }
--- a/src/response.rs
+++ b/src/response.rs
@@ -1,10 +1,16 @@
 //! The response to a user's or worker's request. The controller that received the request
 //! computes it, or forwards the request to the leader and passes the leader's response on.
 
+use std::time::Duration;
+
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use crate::wire::Redirect;
 
+/// Longest time that a controller spends on the response to a poll. Users wait 2 s for it,
+/// so a later response would reach nobody.
+pub const MAX_POLL_TIME: Duration = Duration::from_millis(1800);
+
 /// The status of [`ApiResponse::not_leading`], which is no HTTP status.
 const NOT_LEADING: u16 = 0;
 
--- a/tests/support/state_service/data.rs
+++ b/tests/support/state_service/data.rs
@@ -38,8 +38,12 @@
     pub(super) last_lease: u64,
     /// Fault: every request gets the status 503, except watches, which wait for its end.
     pub(super) is_down: bool,
+    /// Fault: how long every request takes.
+    pub(super) latency: Duration,
     /// The number of requests that read a single key.
     pub(super) key_reads: u64,
+    /// The number of requests that list keys or watch them, by the prefix of the keys.
+    pub(super) range_reads: BTreeMap<String, u64>,
     /// All transactions that were applied, oldest first.
     pub(super) applied: Vec<Transaction>,
     /// Which transactions are carried out late, if any.
--- a/tests/support/state_service/faults.rs
+++ b/tests/support/state_service/faults.rs
@@ -1,6 +1,6 @@
 //! Faults of the state service that tests inject.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
@@ -16,6 +16,11 @@
         data.leases.values_mut().for_each(|lease| lease.1 = now + lease.0);
     }
 
+    /// Makes every request take this long from now on.
+    pub fn set_latency(&self, latency: Duration) {
+        self.0.lock().latency = latency;
+    }
+
     /// From now on, transactions with a larger value or more changes get the status 400.
     pub fn limit_sizes(&self, max_value_bytes: usize, max_changes: usize) {
         self.0.lock().size_limits = Some((max_value_bytes, max_changes));
--- a/tests/support/state_service/mod.rs
+++ b/tests/support/state_service/mod.rs
@@ -13,6 +13,7 @@
 use bitternfold::wire::*;
 use parking_lot::Mutex;
 use serde_json::{json, Value};
+use tokio::time::sleep;
 use warp::Filter;
 
 use super::{json_response, serve};
@@ -30,8 +31,14 @@
         let state = self.clone();
         let check_refused = warp::any()
             .and_then(move || {
-                let refused = state.0.lock().refused_controllers.contains(&controller);
+                let (refused, latency) = {
+                    let data = state.0.lock();
+                    (data.refused_controllers.contains(&controller), data.latency)
+                };
                 async move {
+                    if !latency.is_zero() {
+                        sleep(latency).await;
+                    }
                     if refused {
                         Err(warp::reject::reject())
                     } else {
--- a/tests/support/state_service/observations.rs
+++ b/tests/support/state_service/observations.rs
@@ -65,6 +65,11 @@
         self.0.lock().key_reads
     }
 
+    /// The number of requests that list or watch the keys with this prefix.
+    pub fn range_reads(&self, prefix: &str) -> u64 {
+        self.0.lock().range_reads.get(prefix).copied().unwrap_or(0)
+    }
+
     /// All keys with the revisions of their latest changes.
     pub fn revisions(&self) -> BTreeMap<String, u64> {
         let data = self.0.lock();
--- a/tests/support/state_service/requests.rs
+++ b/tests/support/state_service/requests.rs
@@ -43,7 +43,14 @@
         })
     }
 
+    /// Counts a request that lists or watches keys.
+    fn count_range_read(&self, query: &HashMap<String, String>) {
+        let mut data = self.0.lock();
+        *data.range_reads.entry(query["starts"].clone()).or_default() += 1;
+    }
+
     pub(super) fn list(&self, query: &HashMap<String, String>) -> JsonResponse {
+        self.count_range_read(query);
         self.respond(|data| {
             let (prefix, after) = (&query["starts"], query.get("since").cloned().unwrap_or_default());
             let limit: usize = query["limit"].parse().expect("a number");
@@ -175,6 +182,7 @@
     /// Returns the changes after the revision `since`; waits up to `hold_ms` for the first one,
     /// and in an outage until its end.
     pub(super) async fn watch(&self, query: &HashMap<String, String>) -> JsonResponse {
+        self.count_range_read(query);
         let since: u64 = query["since"].parse().expect("a number");
         let deadline = Instant::now() + Duration::from_millis(query["hold_ms"].parse().expect("a number"));
         loop {
