Followers: a poll takes the leader's response also after users.forward_ms

Callers saw: with the state service at 0.5 to 0.6 s a response, polls for the last job of a pipeline at the two controllers that don't lead ended without any response within the 2 s that users wait.

Cause: a follower dropped the forwarded request after users.forward_ms (200 ms) and then read the state service itself, one job of the pipeline after the other. The leader's response would have been there after one or two requests to the state service; the follower's own needs one for each job.

Change: after users.forward_ms the follower looks the job up as before, but goes on waiting for the leader, and responds with whichever is there first and is not a 503. Submissions and cancellations are as they were.

--- a/src/controller/user_requests.rs
+++ b/src/controller/user_requests.rs
@@ -2,11 +2,14 @@
 //! states if the job is there. It forwards other requests to the leader, and responds
 //! from the state service if the leader can't be reached or is unavailable.
 
+use std::future::Future;
 use std::time::{Duration, Instant};
 
+use tokio::time::timeout;
+
 use crate::core::storage::record::FinalRecord;
 use crate::peer::PeerRequest;
-use crate::response::ApiResponse;
+use crate::response::{ApiResponse, MAX_POLL_TIME};
 use crate::wire::{JobId, JobState, JobStatus};
 
 use super::submission::parse_submission_id;
@@ -49,14 +52,28 @@
         if let Some(response) = self.final_response(id) {
             return response;
         }
+        let response = self.poll_through_leader(id).await;
+        self.cache_final_state(&response);
+        response
+    }
+
+    /// Responds to a poll with the leader's response. If there is none within
+    /// `forward_timeout`, also looks up what is stored, and responds with whichever is there
+    /// first: a leader that waits for a slow state service may need longer than that, but
+    /// the look-up has to wait for the same service.
+    async fn poll_through_leader(&self, id: JobId) -> ApiResponse {
         let request = PeerRequest::Poll(id.to_string());
-        let timeout = self.operator_settings.forward_timeout;
-        match self.forward_to_leader(request, timeout).await {
-            Some(response) if !response.is_unavailable() => {
-                self.cache_final_state(&response);
-                response
-            }
-            _ => self.poll_without_leader(id).await,
+        let forwarded = async {
+            self.forward_to_leader(request, MAX_POLL_TIME)
+                .await
+                .unwrap_or_else(|| ApiResponse::unavailable("no leader answers"))
+        };
+        tokio::pin!(forwarded);
+        let patience = self.operator_settings.forward_timeout;
+        match timeout(patience, &mut forwarded).await {
+            Ok(response) if !response.is_unavailable() => response,
+            Ok(_) => self.poll_without_leader(id).await,
+            Err(_) => first_available(forwarded, self.poll_without_leader(id)).await,
         }
     }
 
@@ -123,3 +140,15 @@
         }
     }
 }
+
+/// The response that is there first and is not a 503; a 503 if both are.
+async fn first_available(
+    one: impl Future<Output = ApiResponse>,
+    other: impl Future<Output = ApiResponse>,
+) -> ApiResponse {
+    tokio::pin!(one, other);
+    tokio::select! {
+        response = &mut one => if response.is_unavailable() { other.await } else { response },
+        response = &mut other => if response.is_unavailable() { one.await } else { response },
+    }
+}
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -28,7 +28,7 @@
     /// the CPUs in use; half of it in a large fleet.
     pub warm_share: f64,
     /// `users.forward_ms`, 10 to 5,000: how long a follower waits for the leader's
-    /// response to a user's request.
+    /// response to a submission or a poll before it turns to the state service.
     pub forward_timeout: Duration,
 }
 
--- a/tests/slow_state.rs
+++ b/tests/slow_state.rs
@@ -70,3 +70,20 @@
         );
     });
 }
+
+// Guards against followers that drop the response of a leader who waits for a slow state
+// service, though they get no further by their own look-ups.
+#[test]
+fn followers_pass_on_the_response_of_a_leader_that_waits_for_the_state_service() {
+    const JOBS: u32 = 8;
+    run_async_test(async {
+        let site = Site::start(Duration::from_secs(600)).await;
+        start_pipeline(&site, JOBS).await;
+        let leader = site.leader().expect("a leader");
+        site.state.set_latency(SLOW);
+        for follower in (0..3).filter(|controller| *controller != leader) {
+            let view = poll_until_answered(&site, follower, &job_id(JOBS)).await;
+            assert_eq!(view["standing"], "queued");
+        }
+    });
+}
