Status: a poll from what is stored costs as many requests for any pipeline

Callers saw: no response within 2 s for the last job of a pipeline from a controller that doesn't reach the leader, or while none leads, as soon as the state service is slow. With 0.55 s a response three unfinished jobs before it were enough; the longer or wider the pipeline, the faster the state service had to be.

Cause: whether a job that it depends on is cancelled was found out by reading the records of all jobs before it, one after the other. An unfinished one was read again for each poll.

Through the real endpoints a poll for the last job after three jobs side by side and three in a row took 7 requests, one after the other.

Change: a controller keeps an index of the unfinished jobs, what they depend on and whether they are cancelled. It is listed once; for each poll one request reads all changes since (GET /watch without a wait, so the answer rests on nothing older than the question). Outcomes of finished jobs are read at the same time, each once in the life of the process, and a look-up whose user has given up goes on, so that the next poll is shorter. Jobs that depend on no others take the requests that they took. The leader uses the same for jobs that it doesn't know or can't answer for from its model.

--- a/src/controller/job_lookup.rs
+++ b/src/controller/job_lookup.rs
@@ -2,12 +2,8 @@
 //!
 //! A response about an unfinished job has to take into account whether a job that it
 //! depends on, directly or indirectly, was cancelled: a stored cancellation cancels all
-//! dependent jobs long before their own records say so.
-
-use std::collections::{HashSet, VecDeque};
-use std::time::Instant;
-
-use tracing::debug;
+//! dependent jobs long before their own records say so. The walk over these jobs is in
+//! `stored_dependencies`.
 
 use crate::controller::Controller;
 use crate::core::storage::record::{self, FinalRecord, JobRecord};
@@ -16,6 +12,7 @@
 use crate::wire::{JobId, JobState, JobStatus};
 
 use super::final_states::final_status;
+use super::stored_dependencies::SharedJobIndex;
 
 /// What the state service has stored of a job.
 #[derive(Debug)]
@@ -28,30 +25,16 @@
     NeverAccepted,
 }
 
-/// How many jobs a walk over dependencies has looked up, one after the other. Logged when
-/// the walk ends, also if it is abandoned because the user no longer waits.
-struct DependencyWalk {
-    began: Instant,
-    lookups: u32,
-}
-
-impl DependencyWalk {
-    fn new() -> Self {
-        Self {
-            began: Instant::now(),
-            lookups: 0,
-        }
-    }
-}
-
-impl Drop for DependencyWalk {
-    fn drop(&mut self) {
-        let took_ms = self.began.elapsed().as_millis() as u64;
-        debug!(
-            lookups = self.lookups,
-            took_ms, "stored dependencies of a job visited"
-        );
-    }
+/// A job that was looked up to respond to a user.
+#[derive(Debug)]
+pub struct JobLookup {
+    /// The id that was looked up.
+    pub id: JobId,
+    /// What is stored under that id.
+    pub job: StoredJob,
+    /// The index of unfinished jobs, up to date since the look-up began; `None` if it was not
+    /// read along with the job.
+    index: Option<SharedJobIndex>,
 }
 
 impl Controller {
@@ -64,75 +47,77 @@
             let record = parse_value(item)?;
             return Ok(StoredJob::Unfinished(Box::new(record), version));
         }
-        if let KeyRead::Found(item) = self.store.get_for_user(&record::final_key(id)).await? {
-            let record: FinalRecord = parse_value(item)?;
-            let status = final_status(id, &record);
-            self.final_states().insert(id, record);
-            return Ok(StoredJob::Finished(status));
+        let status = self.read_final_state(id).await?;
+        Ok(status.map_or(StoredJob::NeverAccepted, StoredJob::Finished))
+    }
+
+    /// The status of a finished job, from the cache or from the state service; `None` if the
+    /// job is not finished.
+    pub(super) async fn read_final_state(&self, id: JobId) -> Result<Option<JobStatus>, StoreError> {
+        if let Some(status) = self.final_states().status(id) {
+            return Ok(Some(status));
         }
-        Ok(StoredJob::NeverAccepted)
+        let KeyRead::Found(item) = self.store.get_for_user(&record::final_key(id)).await? else {
+            return Ok(None);
+        };
+        let record: FinalRecord = parse_value(item)?;
+        let status = final_status(id, &record);
+        self.final_states().insert(id, record);
+        Ok(Some(status))
+    }
+
+    /// Looks up a job to respond to a user. If it is known to depend on others, what the
+    /// response needs of those is read at the same time.
+    pub async fn look_up_for_user(&self, id: JobId) -> Result<JobLookup, StoreError> {
+        let index = async { Ok(self.prefetch_job_index(id).await) };
+        let (job, index) = tokio::try_join!(self.look_up_job(id), index)?;
+        Ok(JobLookup { id, job, index })
     }
 
     /// The state of a job that was looked up, taking into account the jobs that it depends
     /// on; `None` if it was never accepted. An unfinished job that is not cancelled is
     /// reported as queued, because only the leader knows whether it runs.
-    pub async fn stored_state(&self, found: &StoredJob) -> Result<Option<JobState>, StoreError> {
-        Ok(match found {
-            StoredJob::NeverAccepted => None,
-            StoredJob::Finished(status) => Some(status.state),
-            StoredJob::Unfinished(record, _) if record.cancelled => Some(JobState::Cancelled),
-            StoredJob::Unfinished(record, _) if self.any_cancelled(&record.spec.awaits).await? => {
-                Some(JobState::Cancelled)
-            }
-            StoredJob::Unfinished(..) => Some(JobState::Queued),
-        })
+    pub async fn stored_state(&self, lookup: &JobLookup) -> Result<Option<JobState>, StoreError> {
+        let record = match &lookup.job {
+            StoredJob::NeverAccepted => return Ok(None),
+            StoredJob::Finished(status) => return Ok(Some(status.state)),
+            StoredJob::Unfinished(record, _) => record,
+        };
+        let is_cancelled = record.cancelled
+            || self
+                .any_cancelled(&record.spec.awaits, lookup.index.clone())
+                .await?;
+        Ok(Some(if is_cancelled {
+            JobState::Cancelled
+        } else {
+            JobState::Queued
+        }))
     }
 
-    /// Whether one of the jobs, or any job that they depend on directly or indirectly, is
-    /// cancelled.
-    async fn any_cancelled(&self, jobs: &[JobId]) -> Result<bool, StoreError> {
-        let mut work = DependencyWalk::new();
-        let mut visited: HashSet<JobId> = jobs.iter().copied().collect();
-        let mut to_visit: VecDeque<JobId> = jobs.iter().copied().collect();
-        while let Some(id) = to_visit.pop_front() {
-            let cached = self.final_states().status(id);
-            let found = match cached {
-                Some(status) => StoredJob::Finished(status),
-                None => {
-                    work.lookups += 1;
-                    self.look_up_job(id).await?
-                }
-            };
-            match found {
-                StoredJob::Finished(status) if status.state == JobState::Cancelled => return Ok(true),
-                StoredJob::Unfinished(record, _) if record.cancelled => return Ok(true),
-                StoredJob::Unfinished(record, _) => {
-                    let dependencies = record.spec.awaits.into_iter();
-                    to_visit.extend(dependencies.filter(|dependency| visited.insert(*dependency)));
-                }
-                StoredJob::Finished(_) | StoredJob::NeverAccepted => {}
-            }
+    /// The response to a user with the status of a job that was looked up.
+    pub async fn status_response(&self, lookup: &JobLookup) -> ApiResponse {
+        match self.stored_state(lookup).await {
+            Ok(state) => lookup.response_with_state(state),
+            Err(_) => ApiResponse::unavailable("the state of a job that it needs can't be read now"),
         }
-        Ok(false)
     }
+}
 
-    /// The response to a user with the status of a job that was looked up.
-    pub async fn status_response(&self, id: JobId, found: &StoredJob) -> ApiResponse {
-        if let StoredJob::Finished(status) = found {
-            return ApiResponse::with_json(200, status);
-        }
-        match self.stored_state(found).await {
-            Ok(None) => ApiResponse::error(404, "no such job"),
-            Ok(Some(state)) => {
+impl JobLookup {
+    /// The response with a state that [`Controller::stored_state`] returned for this job.
+    pub fn response_with_state(&self, state: Option<JobState>) -> ApiResponse {
+        match (&self.job, state) {
+            (StoredJob::Finished(status), _) => ApiResponse::with_json(200, status),
+            (_, None) => ApiResponse::error(404, "no such job"),
+            (_, Some(state)) => {
                 let status = JobStatus {
-                    id,
+                    id: self.id,
                     state,
                     done: 0,
                     running: 0,
                 };
                 ApiResponse::with_json(200, &status)
             }
-            Err(_) => ApiResponse::unavailable("the state of a job that it needs can't be read now"),
         }
     }
 }
--- a/src/controller/leaderless_submission.rs
+++ b/src/controller/leaderless_submission.rs
@@ -27,9 +27,9 @@
         };
         // The id is looked up before the rest of the body is checked: a repeated submission
         // of an accepted job gets 200.
-        match self.look_up_job(id).await {
-            Ok(StoredJob::NeverAccepted) => {}
-            Ok(found) => return self.status_response(id, &found).await,
+        match self.look_up_for_user(id).await {
+            Ok(lookup) if matches!(lookup.job, StoredJob::NeverAccepted) => {}
+            Ok(lookup) => return self.status_response(&lookup).await,
             Err(_) => return ApiResponse::unavailable("the job's state can't be read now"),
         }
         let types = self.ensure_machine_types().await;
@@ -51,11 +51,11 @@
                 accepted_response(id)
             }
             // The job may have been stored nevertheless, or by another controller.
-            Err(_) => match self.look_up_job(id).await {
-                Ok(StoredJob::NeverAccepted) | Err(_) => {
-                    ApiResponse::unavailable("the job can't be stored now")
+            Err(_) => match self.look_up_for_user(id).await {
+                Ok(lookup) if !matches!(lookup.job, StoredJob::NeverAccepted) => {
+                    self.status_response(&lookup).await
                 }
-                Ok(found) => self.status_response(id, &found).await,
+                _ => ApiResponse::unavailable("the job can't be stored now"),
             },
         }
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -11,7 +11,8 @@
 //!   the other controllers.
 //! - `user_requests` responds to users; without the leader, `leaderless_submission` stores
 //!   new jobs.
-//! - [`submission`] validates submissions, [`job_lookup`] reads stored jobs.
+//! - [`submission`] validates submissions, [`job_lookup`] reads stored jobs,
+//!   `stored_dependencies` those that they depend on.
 //! - [`final_states`] caches the final states of jobs, `machine_types` the machine
 //!   types.
 
@@ -21,6 +22,7 @@
 mod machine_types;
 mod peers;
 mod role;
+mod stored_dependencies;
 pub mod submission;
 pub mod term_leader;
 mod user_requests;
@@ -42,6 +44,7 @@
 use crate::wire::MachineType;
 
 use final_states::FinalStates;
+use stored_dependencies::JobIndexCell;
 
 pub use role::Role;
 
@@ -60,6 +63,8 @@
     /// One link to each other controller.
     links: Vec<Arc<PeerLink>>,
     final_states: Mutex<FinalStates>,
+    /// Replaced when it is too old to be brought up to date.
+    job_index: Mutex<JobIndexCell>,
     /// Empty until they have been read.
     machine_types: Mutex<Arc<Vec<MachineType>>>,
     role: Mutex<Role>,
@@ -96,6 +101,7 @@
             cloud: Arc::new(cloud),
             links,
             final_states: Mutex::default(),
+            job_index: Mutex::default(),
             machine_types: Mutex::default(),
             role: Mutex::new(Role::Unknown),
             known_term: Mutex::new(0),
--- a/src/controller/user_requests.rs
+++ b/src/controller/user_requests.rs
@@ -3,6 +3,7 @@
 //! from the state service if the leader can't be reached or is unavailable.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::time::timeout;
@@ -10,6 +11,7 @@
 use crate::core::storage::record::FinalRecord;
 use crate::peer::PeerRequest;
 use crate::response::{ApiResponse, MAX_POLL_TIME};
+use crate::store::StoreError;
 use crate::wire::{JobId, JobState, JobStatus};
 
 use super::submission::parse_submission_id;
@@ -39,7 +41,7 @@
 
     /// Responds to a poll. An overloaded controller responds only about jobs whose final
     /// states are cached, and refuses all other polls.
-    pub async fn poll_job(&self, id: JobId) -> ApiResponse {
+    pub async fn poll_job(self: &Arc<Self>, id: JobId) -> ApiResponse {
         self.check_for_stall();
         if self.stall_detector.is_overloaded(Instant::now()) {
             return self
@@ -61,7 +63,7 @@
     /// `forward_timeout`, also looks up what is stored, and responds with whichever is there
     /// first: a leader that waits for a slow state service may need longer than that, but
     /// the look-up has to wait for the same service.
-    async fn poll_through_leader(&self, id: JobId) -> ApiResponse {
+    async fn poll_through_leader(self: &Arc<Self>, id: JobId) -> ApiResponse {
         let request = PeerRequest::Poll(id.to_string());
         let forwarded = async {
             self.forward_to_leader(request, MAX_POLL_TIME)
@@ -95,22 +97,30 @@
         }
     }
 
-    /// Responds to a poll with what the state service has stored.
-    async fn poll_without_leader(&self, id: JobId) -> ApiResponse {
-        match self.look_up_job(id).await {
-            Ok(found) => self.status_response(id, &found).await,
-            Err(_) => ApiResponse::unavailable("the job's state can't be read now"),
+    /// Responds to a poll with what the state service has stored. The look-up goes on if the
+    /// user gives up, as what it reads makes the next one shorter.
+    async fn poll_without_leader(self: &Arc<Self>, id: JobId) -> ApiResponse {
+        let controller = self.clone();
+        let lookup = tokio::spawn(async move {
+            let lookup = controller.look_up_for_user(id).await?;
+            Ok::<_, StoreError>(controller.status_response(&lookup).await)
+        });
+        match lookup.await {
+            Ok(Ok(response)) => response,
+            _ => ApiResponse::unavailable("the job's state can't be read now"),
         }
     }
 
     /// Responds to a cancellation from the state service. Only a job that is finished, is
     /// cancelled already or was never accepted needs no leader.
     async fn cancel_without_leader(&self, id: JobId) -> ApiResponse {
-        let Ok(found) = self.look_up_job(id).await else {
+        let Ok(lookup) = self.look_up_for_user(id).await else {
             return ApiResponse::unavailable("no leader to cancel it now");
         };
-        match self.stored_state(&found).await {
-            Ok(None | Some(JobState::Cancelled | JobState::Done)) => self.status_response(id, &found).await,
+        match self.stored_state(&lookup).await {
+            Ok(state @ (None | Some(JobState::Cancelled | JobState::Done))) => {
+                lookup.response_with_state(state)
+            }
             _ => ApiResponse::unavailable("no leader to cancel it now"),
         }
     }
--- a/src/leader/active_leader/job_status.rs
+++ b/src/leader/active_leader/job_status.rs
@@ -44,16 +44,16 @@
     /// The response about a job as it is stored, or `if_never_accepted`. An unfinished
     /// job that was unknown here is added to the model.
     pub(super) async fn stored_status_or(&self, id: JobId, if_never_accepted: ApiResponse) -> ApiResponse {
-        match self.controller.look_up_job(id).await {
-            Ok(StoredJob::NeverAccepted) => if_never_accepted,
-            Ok(found) => {
-                let response = self.controller.status_response(id, &found).await;
-                if let StoredJob::Unfinished(record, version) = found {
-                    self.add_stored_job(*record, version);
-                }
-                response
-            }
-            Err(_) => ApiResponse::unavailable("the job's state can't be read now"),
+        let Ok(lookup) = self.controller.look_up_for_user(id).await else {
+            return ApiResponse::unavailable("the job's state can't be read now");
+        };
+        if matches!(lookup.job, StoredJob::NeverAccepted) {
+            return if_never_accepted;
         }
+        let response = self.controller.status_response(&lookup).await;
+        if let StoredJob::Unfinished(record, version) = lookup.job {
+            self.add_stored_job(*record, version);
+        }
+        response
     }
 }
--- a/src/store/reads.rs
+++ b/src/store/reads.rs
@@ -42,6 +42,9 @@
 pub struct Listing {
     /// The keys with their values, in key order.
     pub items: Vec<KeyValue>,
+    /// The state service's revision when the first page was read. Later changes may or may
+    /// not show in `items`.
+    pub first_revision: u64,
     /// The state service's revision when the last page was read.
     pub revision: u64,
 }
@@ -87,13 +90,16 @@
     /// read; the listing as a whole is not a snapshot.
     pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
         let mut items: Vec<KeyValue> = Vec::new();
+        let mut first_revision = None;
         loop {
             let page = self.read_page(prefix, items.last()).await?;
+            let first_revision = *first_revision.get_or_insert(page.revision);
             let is_last = page.items.is_empty() || !page.has_more;
             items.extend(page.items);
             if is_last {
                 return Ok(Listing {
                     items,
+                    first_revision,
                     revision: page.revision,
                 });
             }
@@ -125,6 +131,29 @@
     /// `since` (a long poll). The response has no events if there were none.
     pub async fn watch(&self, prefix: &str, since: u64, hold: Duration) -> Result<WatchResponse, StoreError> {
         self.request_budget.acquire(1.0).await;
+        self.read_changes(prefix, since, hold, hold + WATCH_MARGIN).await
+    }
+
+    /// Reads the changes of keys with the prefix after the revision `since`, for a user who
+    /// waits for the response; see [`Store::get_for_user`].
+    pub async fn changes_for_user(&self, prefix: &str, since: u64) -> Result<WatchResponse, StoreError> {
+        if !self.request_budget.acquire_within(1.0, MAX_BUDGET_WAIT).await {
+            let operation = Operation::Watch {
+                prefix: prefix.to_owned(),
+            };
+            return Err(StoreError::unavailable(operation, FailureCause::BudgetExhausted));
+        }
+        self.read_changes(prefix, since, Duration::ZERO, USER_READ_TIMEOUT)
+            .await
+    }
+
+    async fn read_changes(
+        &self,
+        prefix: &str,
+        since: u64,
+        hold: Duration,
+        timeout: Duration,
+    ) -> Result<WatchResponse, StoreError> {
         let operation = || Operation::Watch {
             prefix: prefix.to_owned(),
         };
@@ -133,7 +162,7 @@
             method: Method::GET,
             path: &format!("/watch?starts={prefix}&since={since}&hold_ms={hold_ms}"),
             body: None,
-            timeout: hold + WATCH_MARGIN,
+            timeout,
         };
         let response = self.send_request(request, operation).await?;
         match response.status {
--- a/tests/slow_state.rs
+++ b/tests/slow_state.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use serde_json::Value;
+use serde_json::{json, Value};
 use site::{job_id, run_async_test, Site};
 use standins::send_request;
 use tokio::time::{sleep, timeout};
@@ -87,3 +87,84 @@
         }
     });
 }
+
+/// Kills all controllers and starts these again. They follow a leader that isn't there, so
+/// that none of them is elected.
+async fn restart_without_leader(site: &mut Site, controllers: &[usize]) {
+    for controller in 0..3 {
+        site.kill_controller(controller);
+    }
+    // The loops of a controller end up to 20 ms after it was killed.
+    sleep(Duration::from_millis(200)).await;
+    site.state.put("leader", json!({"host": "heron-9", "nonce": 1}));
+    for controller in controllers {
+        site.start_controller(*controller);
+        site.poll(*controller, &job_id(1)).await;
+    }
+}
+
+/// The number of requests to the state service that concern jobs.
+fn job_requests(site: &Site) -> u64 {
+    site.state.key_reads() + site.state.range_reads("jobs/")
+}
+
+/// Submits jobs that depend on no other, then one that depends on all of these, then a chain
+/// of as many jobs after that. Returns the number of the last one.
+async fn start_wide_and_long_pipeline(site: &Site, size: u32) -> u32 {
+    let last = 2 * size + 1;
+    for n in 1..=last {
+        let dependencies: Vec<u32> = match n {
+            n if n <= size => Vec::new(),
+            n if n == size + 1 => (1..=size).collect(),
+            n => vec![n - 1],
+        };
+        let (status, view) = site.submit(0, site.job_awaiting(n, 1, &dependencies)).await;
+        assert!([200, 201].contains(&status), "{view}");
+    }
+    last
+}
+
+// Guards against followers that read the jobs before a job one after the other, so that their
+// users give up: the longer a pipeline, the fewer of its jobs are answered for.
+#[test]
+fn without_a_leader_a_poll_costs_as_many_requests_for_a_pipeline_of_any_size() {
+    run_async_test(async {
+        for size in [3, 30] {
+            let mut site = Site::start(Duration::from_secs(600)).await;
+            let last = start_wide_and_long_pipeline(&site, size).await;
+            restart_without_leader(&mut site, &[0, 1]).await;
+            for controller in [0, 1] {
+                // The first poll loads the index of unfinished jobs.
+                let (_, view) = site.poll(controller, &job_id(last)).await;
+                assert_eq!(view["standing"], "queued");
+                let before = job_requests(&site);
+                site.poll(controller, &job_id(last)).await;
+                // The job, and the changes of unfinished jobs since the last poll.
+                assert_eq!(job_requests(&site) - before, 2, "for a pipeline of size {size}");
+            }
+            // The final state of each job that has ended is read once.
+            for n in 1..=size {
+                let final_record = json!({"state": "done", "done": 1});
+                site.state.put(&format!("final/{}", job_id(n)), final_record);
+                site.state.delete(&format!("jobs/{}", job_id(n)));
+            }
+            let before = job_requests(&site);
+            site.poll(0, &job_id(last)).await;
+            assert_eq!(job_requests(&site) - before, 2 + u64::from(size));
+            site.state.set_latency(SLOW);
+            for controller in [0, 1] {
+                let view = poll_until_answered(&site, controller, &job_id(last)).await;
+                assert_eq!(view["standing"], "queued");
+            }
+            // A cancellation that only the record of the job itself shows cancels all after it.
+            let key = format!("jobs/{}", job_id(size + 1));
+            let mut record = site.state.value(&key).expect("an unfinished job");
+            record["cancelled"] = json!(true);
+            site.state.put(&key, record);
+            for controller in [0, 1] {
+                let view = poll_until_answered(&site, controller, &job_id(last)).await;
+                assert_eq!(view["standing"], "cancelled");
+            }
+        }
+    });
+}
--- a/tests/support/state_service/faults.rs
+++ b/tests/support/state_service/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use bitternfold::wire::{Change, Transaction};
 use serde_json::Value;
 
 use super::{LateWrites, StateService};
@@ -50,6 +51,31 @@
         data.keys.insert(key.to_owned(), (value, revision, None));
     }
 
+    /// Writes a key on behalf of no controller. Watches report the change.
+    pub fn put(&self, key: &str, value: Value) {
+        self.change(Change::Put {
+            put: key.to_owned(),
+            value,
+            lease: None,
+        });
+    }
+
+    /// Deletes a key on behalf of no controller. Watches report the change.
+    pub fn delete(&self, key: &str) {
+        self.change(Change::Delete {
+            delete: key.to_owned(),
+        });
+    }
+
+    fn change(&self, change: Change) {
+        let transaction = Transaction {
+            conditions: Vec::new(),
+            changes: vec![change],
+        };
+        let (status, body) = self.apply_transaction(&transaction);
+        assert_eq!(status, 200, "{body}");
+    }
+
     /// Ends every lease, which deposes the leader.
     pub fn end_leases(&self) {
         let ids: Vec<u64> = self.0.lock().leases.keys().copied().collect();
