Takeover: finished dependencies are looked up without waiting for each other

Callers would see: after a change of leader while the state service is slow, a job that waits for many finished ones neither starts nor is answered for from the leader's memory for minutes.

Cause: a new leader looked up the jobs that it doesn't know one after the other, with two reads each (jobs that it doesn't know are finished, but the key of unfinished jobs was read first). At 0.55 s a read, 120 such jobs take 132 s and the pauses between them.

Change: look-ups begin at the same rate as before (a fifth of the requests), but don't wait for each other, and read the final state first, so that each of them is one request.

--- a/src/controller/stored_dependencies.rs
+++ b/src/controller/stored_dependencies.rs
@@ -98,7 +98,7 @@
             };
             outcomes += not_indexed.len();
             unchecked.clear();
-            for found in self.look_up_likely_finished(&not_indexed).await? {
+            for found in self.look_up_likely_finished_jobs(&not_indexed).await? {
                 match found {
                     StoredJob::Finished(status) if status.state == JobState::Cancelled => return Ok(true),
                     StoredJob::Unfinished(record, _) if record.cancelled => return Ok(true),
@@ -118,14 +118,17 @@
     /// Looks up jobs that are most likely finished, all at the same time; returns them in the
     /// same order. All look-ups are completed even if one of them fails, so that the outcomes
     /// are cached for the next time.
-    pub(super) async fn look_up_likely_finished(&self, jobs: &[JobId]) -> Result<Vec<StoredJob>, StoreError> {
-        let lookups = jobs.iter().map(|id| self.look_up_finished_first(*id));
+    pub(super) async fn look_up_likely_finished_jobs(
+        &self,
+        jobs: &[JobId],
+    ) -> Result<Vec<StoredJob>, StoreError> {
+        let lookups = jobs.iter().map(|id| self.look_up_likely_finished_job(*id));
         join_all(lookups).await.into_iter().collect()
     }
 
     /// [`Self::look_up_job`] for a job that is most likely finished: reads its final state
     /// first, and nothing else if that exists.
-    async fn look_up_finished_first(&self, id: JobId) -> Result<StoredJob, StoreError> {
+    pub async fn look_up_likely_finished_job(&self, id: JobId) -> Result<StoredJob, StoreError> {
         match self.read_final_state(id).await? {
             Some(status) => Ok(StoredJob::Finished(status)),
             None => self.look_up_job(id).await,
--- a/src/controller/submission.rs
+++ b/src/controller/submission.rs
@@ -196,7 +196,7 @@
             }
         }
         let found = self
-            .look_up_likely_finished(&to_look_up)
+            .look_up_likely_finished_jobs(&to_look_up)
             .await
             .map_err(|error| SubmissionError::DependencyUnreadable(Box::new(error)))?;
         for (dependency, job) in to_look_up.into_iter().zip(found) {
--- a/src/leader/active_leader/dependency_lookup.rs
+++ b/src/leader/active_leader/dependency_lookup.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
@@ -25,8 +26,9 @@
 const MAX_LOOKUP_INTERVAL: Duration = Duration::from_secs(1);
 
 impl ActiveLeader {
-    /// Looks up the jobs of unresolved dependencies, one after the other, until the
-    /// term ends.
+    /// Looks up the jobs of unresolved dependencies until the term ends. The look-ups begin
+    /// one after the other, and don't wait for each other: a slow state service delays each of
+    /// them, but not their rate.
     pub(super) async fn look_up_dependencies(self: Arc<Self>) {
         let request_rate = self.controller.deployment().cluster.state.rps;
         let spacing = Duration::from_secs_f64(1.0 / (request_rate * LOOKUP_SHARE));
@@ -35,11 +37,12 @@
                 let model = self.model.lock();
                 model.dependencies().unresolved().iter().copied().collect()
             };
-            let mut any_failed = false;
-            for id in unresolved {
-                any_failed |= self.look_up_dependency(id).await.is_err();
-                sleep(spacing).await;
-            }
+            let delays = (0..).map(|n: u32| spacing * n);
+            let lookups = unresolved
+                .into_iter()
+                .zip(delays)
+                .map(|(id, delay)| self.look_up_dependency_after(delay, id));
+            let any_failed = join_all(lookups).await.iter().any(Result::is_err);
             if any_failed {
                 sleep(RETRY_PAUSE).await;
             } else {
@@ -48,8 +51,9 @@
         }
     }
 
-    async fn look_up_dependency(&self, id: JobId) -> Result<(), StoreError> {
-        match self.controller.look_up_job(id).await? {
+    async fn look_up_dependency_after(&self, delay: Duration, id: JobId) -> Result<(), StoreError> {
+        sleep(delay).await;
+        match self.controller.look_up_likely_finished_job(id).await? {
             StoredJob::Unfinished(record, version) => self.add_stored_job(*record, version),
             StoredJob::Finished(_) => self.resolve_after_lookup(id),
             StoredJob::NeverAccepted => {
--- a/tests/slow_state.rs
+++ b/tests/slow_state.rs
@@ -202,3 +202,27 @@
         assert_eq!(status, 201, "{view}");
     });
 }
+
+// Guards against a new leader that looks up the finished jobs before a job one after the other:
+// the job neither starts nor is answered for from memory until all of them are known.
+#[test]
+fn a_new_leader_looks_up_many_finished_dependencies_while_the_state_service_is_slow() {
+    const FINISHED: u32 = 120;
+    run_async_test(async {
+        let mut site = Site::without_controllers(Duration::from_secs(600), |settings| settings).await;
+        for n in 1..=FINISHED {
+            let final_record = json!({"state": "done", "done": 1});
+            site.state.put(&format!("final/{}", job_id(n)), final_record);
+        }
+        let dependencies: Vec<u32> = (1..=FINISHED).collect();
+        let body = site.job_awaiting(FINISHED + 1, 1, &dependencies);
+        let spec: bitternfold::wire::JobSpec = serde_json::from_value(body).expect("a job");
+        let key = format!("jobs/{}", job_id(FINISHED + 1));
+        site.state.put(&key, json!({"spec": spec, "at": 0}));
+        site.state.set_latency(SLOW);
+        for controller in 0..3 {
+            site.start_controller(controller);
+        }
+        site.wait_for_state(0, &job_id(FINISHED + 1), "running").await;
+    });
+}
