Evidence: a late copy of a start can't run a task that was moved or cancelled

Callers would see: a task on two machines at once, or a task of a cancelled job that runs again.

Cause: an attempt counted as gone if the worker had seen the token of its start and didn't list it, and as ended as soon as the worker said so. A worker refuses lower tokens only. A copy of the batch with an equal token is carried out, and starts what the worker doesn't list.

Evidence: new tests with copies of all batches of commands.

Change: evidence that an attempt is over counts only with a token above that of its start. Otherwise the slot keeps its place, a probe is due at once, and responses to heartbeats carry a fresh token; no start is repeated meanwhile. Sound workers always list what they started, so only failed, refused and stopped attempts take one more batch of commands.

Tests: a_heartbeat_with_a_token_below_the_last_start_removes_no_slot asserted that an equal token removes the slot, which was the fault; it asserts now that it does not, that a probe without the start follows, and that its answer does. A fixture of the planner reported ends with the very token of the starts; it reports a higher one.

--- a/src/core/evidence/commands/batch.rs
+++ b/src/core/evidence/commands/batch.rs
@@ -147,7 +147,8 @@
 /// A first start waits until the machine has enough free resources besides `in_use`, as
 /// tasks that were ordered to stop may still be saving. A start that was sent before is
 /// repeated in every batch: this batch may overtake the earlier one, which the worker then
-/// refuses.
+/// refuses. The start of an attempt that awaits a fence is not repeated, as the token of the
+/// batch is to fence it.
 fn collect_starts(
     slots: &mut BTreeMap<TaskId, Slot>,
     conditions: &StartConditions,
@@ -156,6 +157,7 @@
 ) {
     for (task, slot) in slots {
         if slot.state != SlotState::Placed
+            || slot.awaits_fence
             || slot.stop_grace.is_some()
             || !conditions.log.is_stored(slot.start_log_mark)
         {
--- a/src/core/evidence/commands/response.rs
+++ b/src/core/evidence/commands/response.rs
@@ -17,8 +17,8 @@
     /// With the token of a batch in flight, the response could overtake that batch: the
     /// worker would report the token, and a start in the batch would look absent although it
     /// may still arrive. A fresh token, which no batch carries, is used if the worker has
-    /// reported none of this term, if a start has to be refused (`has_outstanding_start`),
-    /// or if tasks are acknowledged while no batch is in flight.
+    /// reported none of this term, if a start has to be refused (`has_outstanding_start`,
+    /// `awaits_fence`), or if tasks are acknowledged while no batch is in flight.
     pub fn heartbeat_response(
         &mut self,
         machine: &MachineId,
@@ -33,7 +33,10 @@
         let (log, jobs) = (&self.log, &self.jobs);
         let machine = self.machines.get_mut(machine)?;
         machine.last_heartbeat_response = Some(now);
-        if !machine.is_fenced_by(term) || has_outstanding_start(machine, max_stop_delay, now) {
+        if !machine.is_fenced_by(term)
+            || has_outstanding_start(machine, max_stop_delay, now)
+            || awaits_fence(machine)
+        {
             return Some(response_without_commands(machine.issue_token(term)));
         }
         if machine.batch_in_flight || machine.unacknowledged_since.is_none() {
@@ -78,6 +81,12 @@
     })
 }
 
+/// Whether an attempt on the machine awaits a higher token and no batch is on its way that
+/// carries one.
+fn awaits_fence(machine: &Machine) -> bool {
+    !machine.batch_in_flight && machine.slots.values().any(|slot| slot.awaits_fence)
+}
+
 fn response_without_commands(token: u64) -> HeartbeatResponse {
     HeartbeatResponse {
         token,
--- a/src/core/evidence/heartbeats/absence.rs
+++ b/src/core/evidence/heartbeats/absence.rs
@@ -1,4 +1,5 @@
-//! Finds the attempts that a message proves to be gone from their machine.
+//! Finds the attempts that a message proves to be gone from their machine, and those that are
+//! not there but could be started again.
 
 use crate::core::state::machine::Machine;
 use crate::core::state::slot::Slot;
@@ -15,6 +16,19 @@
         .collect()
 }
 
+/// Marks the attempts that the worker has lost: it has seen the token of their start, so it
+/// carried the start out, but doesn't list them. A late copy of the start, whose token is
+/// still the highest that the worker has seen, would start them again. A probe is due, as it
+/// raises that token.
+pub(super) fn mark_lost_attempts(machine: &mut Machine, heartbeat: &Heartbeat) {
+    for (task, slot) in &mut machine.slots {
+        if heartbeat.token == slot.start_token && !lists_attempt(heartbeat, *task, slot.attempt) {
+            slot.awaits_fence = true;
+            machine.needs_probe = true;
+        }
+    }
+}
+
 fn lists_attempt(heartbeat: &Heartbeat, task: TaskId, attempt: u64) -> bool {
     let mut reported = heartbeat.tasks.iter();
     reported.any(|t| t.task == task && t.attempt == attempt)
@@ -24,16 +38,15 @@
 /// more. Absence from the list alone is no evidence, as the start may still be in flight.
 /// Either of two conditions suffices:
 ///
-/// - The worker has seen a token at least as high as the last one that was sent with the
-///   start. It refuses commands below the highest token that it has seen, each batch of
-///   commands has its own token, and no heartbeat response carries the token of a batch in
-///   flight. So the start was executed before this message, or will be refused.
+/// - The worker has seen a higher token than the last one that was sent with the start. It
+///   refuses commands below the highest token that it has seen, so the start, and any late copy
+///   of it, will be refused. An equal token is not enough, see [`Slot::may_start_again`].
 /// - The worker's incarnation is later than the one that the start was sent to. A restarted
 ///   worker has killed and forgotten its tasks, and it refuses commands that are meant
 ///   for another incarnation. This applies to starts of this term only: the incarnation
 ///   for starts of earlier terms isn't known (`start_incarnation` is 0).
 fn start_cannot_take_effect(slot: &Slot, heartbeat: &Heartbeat) -> bool {
-    let is_token_seen = slot.start_token > 0 && heartbeat.token >= slot.start_token;
+    let is_refused = slot.start_token > 0 && !slot.may_start_again(heartbeat.token);
     let is_later_incarnation = slot.start_incarnation > 0 && heartbeat.incarnation > slot.start_incarnation;
-    is_token_seen || is_later_incarnation
+    is_refused || is_later_incarnation
 }
--- a/src/core/evidence/heartbeats/exit.rs
+++ b/src/core/evidence/heartbeats/exit.rs
@@ -5,9 +5,10 @@
 use tracing::debug;
 
 use crate::core::evidence::heartbeats::reported_task::reported_slot;
+use crate::core::evidence::heartbeats::AcceptedHeartbeat;
 use crate::core::state::job::Job;
 use crate::core::state::machine::Machine;
-use crate::core::state::slot::SlotState;
+use crate::core::state::slot::{Slot, SlotState};
 use crate::core::storage::wal::{LogEntry, WriteAheadLog};
 use crate::wire::{ExitReason, JobKind, ReportedTask};
 
@@ -30,17 +31,28 @@
 
 /// Records that an attempt has ended. Its slot stays until the outcome is stored and the
 /// worker has received the acknowledgement. Its task is placed again unless it is done.
+///
+/// If the worker may still start the attempt again, nothing is recorded yet: should the worker
+/// lose the attempt before the acknowledgement, a late copy of the start would run it beside
+/// its next attempt, or after its job has ended. The end is recorded once the worker reports it
+/// with a higher token; a probe is due for that.
 pub(super) fn apply_exit(
     machine: &mut Machine,
     job: Option<&mut Job>,
     log: &mut WriteAheadLog,
     task: &ReportedTask,
-    now: Instant,
+    accepted: &AcceptedHeartbeat,
 ) -> ExitEffect {
+    let now = accepted.now;
     let Some(slot) = reported_slot(&mut machine.slots, task) else {
         return ExitEffect::None;
     };
     let reason = task.exit_reason.unwrap_or(ExitReason::Other);
+    if slot.may_start_again(accepted.heartbeat.token) && !ends_at_once_if_started_again(slot, reason) {
+        slot.awaits_fence = true;
+        machine.needs_probe = true;
+        return ExitEffect::None;
+    }
     slot.state = SlotState::Ended(reason);
     let ran = slot.running_since.map(|since| now - since);
     let was_stopped = slot.stop_grace.is_some();
@@ -76,6 +88,16 @@
     effect
 }
 
+/// Whether an attempt that ended for this reason would end at once if it were started again. The
+/// worker keeps the result of a task that is done; replicas of a service are never done.
+fn ends_at_once_if_started_again(slot: &Slot, reason: ExitReason) -> bool {
+    let is_service = slot
+        .spec
+        .as_ref()
+        .is_some_and(|spec| spec.kind == JobKind::Service);
+    reason == ExitReason::Done && !is_service
+}
+
 /// Records that a task of an array or gang is done. Returns the mark of the log entry
 /// that records it; `None` for a service, whose tasks are never done, or for a task that
 /// the job doesn't have.
--- a/src/core/evidence/heartbeats/mod.rs
+++ b/src/core/evidence/heartbeats/mod.rs
@@ -5,12 +5,14 @@
 //!
 //! 1. `machine`: ignore the message unless it is newer than all applied before, and update
 //!    the machine.
-//! 2. `absence`: remove the attempts that it proves to be gone.
+//! 2. `absence`: remove the attempts that it proves to be gone, and mark those that are lost.
 //! 3. `reported_task`, `exit`: apply the state of each task that it lists.
 //!
 //! The steps rely on two orders. Messages of one worker are ordered by incarnation and
 //! sequence, so that delayed copies are ignored. Commands to one machine are ordered by
-//! fencing token: a worker refuses those below the highest token that it has seen.
+//! fencing token: a worker refuses those below the highest token that it has seen. A late copy
+//! of the latest batch is not refused, so evidence that an attempt is over counts only with a
+//! token above that of its start.
 
 mod absence;
 mod exit;
@@ -73,6 +75,7 @@
         }
         machine::update_token_and_notice(machine, heartbeat, self.term, now);
         let absent = absence::absent_attempts(machine, heartbeat);
+        absence::mark_lost_attempts(machine, heartbeat);
         for task in absent {
             debug!(%task, machine = %heartbeat.machine, "attempt is gone from its machine, slot removed");
             self.remove_slot(&heartbeat.machine, task, now);
--- a/src/core/evidence/heartbeats/reported_task.rs
+++ b/src/core/evidence/heartbeats/reported_task.rs
@@ -43,7 +43,7 @@
             apply_progress(machine, job, task, accepted);
             return;
         }
-        let effect = apply_exit(machine, job, &mut self.log, task, accepted.now);
+        let effect = apply_exit(machine, job, &mut self.log, task, accepted);
         if effect == ExitEffect::AttemptFailed {
             self.cordon_if_faulty(&accepted.heartbeat.machine, accepted.now);
         }
@@ -106,6 +106,7 @@
     let Some(slot) = reported_slot(&mut machine.slots, task) else {
         return;
     };
+    slot.awaits_fence = false;
     match task.state {
         TaskState::Fetching | TaskState::Waiting => slot.state = SlotState::Fetching,
         TaskState::Saving => slot.state = SlotState::Saving,
--- a/src/core/state/model/places.rs
+++ b/src/core/state/model/places.rs
@@ -54,6 +54,7 @@
                 backfilled,
                 placed_at: now,
                 running_since: None,
+                awaits_fence: false,
                 stop_grace: None,
                 stop_ordered_at: None,
             },
--- a/src/core/state/slot.rs
+++ b/src/core/state/slot.rs
@@ -53,6 +53,10 @@
     pub placed_at: Instant,
     /// When it was first seen running.
     pub running_since: Option<Instant>,
+    /// Set if the worker reports that the attempt has ended or is not there, but may still start
+    /// it again: see [`Slot::may_start_again`]. The slot stays as it is until the worker has seen
+    /// a higher token.
+    pub awaits_fence: bool,
     /// Set once the attempt is to be stopped: the grace time that it has to save a
     /// checkpoint.
     pub stop_grace: Option<Duration>,
@@ -65,8 +69,8 @@
 impl Slot {
     /// An attempt that is or may be on the machine, though this leader did not start it.
     /// A worker that has seen a token of this term refuses the starts of earlier leaders,
-    /// so `start_token` is the lowest possible token of this term: any message that shows
-    /// a token of this term settles whether the attempt is there.
+    /// so `start_token` is the highest possible token of the term before: any message that
+    /// shows a token of this term settles whether the attempt is there.
     pub(in crate::core) fn unknown(
         attempt: u64,
         spec: Option<Arc<JobSpec>>,
@@ -77,13 +81,14 @@
             attempt,
             state: SlotState::Unknown,
             spec,
-            start_token: token::first_of_term(term),
+            start_token: token::first_of_term(term).saturating_sub(1),
             start_incarnation: 0,
             start_log_mark: 0,
             outcome_log_mark: 0,
             backfilled: false,
             placed_at: now,
             running_since: None,
+            awaits_fence: false,
             stop_grace: None,
             stop_ordered_at: None,
         }
@@ -96,6 +101,14 @@
         self.stop_ordered_at.get_or_insert(now);
     }
 
+    /// Whether a worker that has seen no higher token than this one accepts a start of the
+    /// attempt that was sent before, or a late copy of it. It carries out such a copy unless it
+    /// lists the attempt. A worker that was restarted before its lease expired lists none: it
+    /// has lost its tasks, but keeps its incarnation and its token.
+    pub fn may_start_again(&self, seen_token: u64) -> bool {
+        self.start_token > 0 && seen_token <= self.start_token
+    }
+
     /// Whether the attempt takes resources of its machine: unless it has ended, it does.
     pub fn takes_resources(&self) -> bool {
         !matches!(self.state, SlotState::Ended(_))
--- a/tests/planner/fixtures.rs
+++ b/tests/planner/fixtures.rs
@@ -99,6 +99,8 @@
     let id = MachineId::from(machine);
     mark_all_running(model, now);
     let mut message = heartbeat(machine, "small", "north", false, 1, sequence);
+    // Above every start's token, so that no late copy of a start can take effect any more.
+    message.token = (1 << 20) + 1;
     message.tasks = reported_running(model, &id);
     for reported in &mut message.tasks {
         (reported.state, reported.exit_reason) = (TaskState::Ended, Some(reason));
--- a/tests/safety/cluster/delivery.rs
+++ b/tests/safety/cluster/delivery.rs
@@ -155,14 +155,7 @@
                     .model
                     .heartbeat_response(&heartbeat.machine, heartbeat.token, self.now);
             }
-            Message::Command { to, commands, .. } => {
-                let receives_commands = |worker: &&mut Worker| worker.receives_commands();
-                if let Some(worker) = self.worker(&to).filter(receives_commands) {
-                    for task in worker.execute(&commands) {
-                        self.check_runs_once_within_limit(task);
-                    }
-                }
-            }
+            Message::Command { to, commands, .. } => self.deliver_copy_of_command(&to, &commands),
             // Copies of these have no effect: a transaction's conditions hold at most once,
             // and a sender handles one response, or the lack of one.
             Message::HeartbeatResponse { .. }
@@ -173,4 +166,21 @@
             | Message::CommandResponse { .. } => {}
         }
     }
+
+    fn deliver_copy_of_command(&mut self, to: &MachineId, commands: &CommandBatch) {
+        let results = self.results.clone();
+        let receives_commands = |worker: &&mut Worker| worker.receives_commands();
+        let Some(worker) = self.worker(to).filter(receives_commands) else {
+            return;
+        };
+        let mut started = worker.execute(commands);
+        for task in started.extract_if(.., |task| results.contains(task)) {
+            let known = worker.tasks.get_mut(&task).expect("it was just started");
+            known.exit(ExitReason::Done);
+        }
+        for task in started {
+            self.check_runs_once_within_limit(task);
+            self.check_not_stored_as_cancelled(task);
+        }
+    }
 }
--- a/tests/safety/cluster/invariants.rs
+++ b/tests/safety/cluster/invariants.rs
@@ -53,6 +53,16 @@
         self.check_dependencies_are_done(task);
     }
 
+    /// Checks that a task that starts is not of a job whose final state is stored as
+    /// cancelled: none of its tasks may be on a machine by then, nor start there later.
+    pub fn check_not_stored_as_cancelled(&self, task: TaskId) {
+        let record = self.final_records.get(&task.job);
+        assert!(
+            record.is_none_or(|record| record.state != JobState::Cancelled),
+            "{task} starts although its job has ended as cancelled"
+        );
+    }
+
     /// Checks that all dependencies of a task's job are stored as done.
     pub fn check_dependencies_are_done(&self, task: TaskId) {
         for dependency in &self.dependencies[&task.job] {
--- a/tests/safety/cluster/mod.rs
+++ b/tests/safety/cluster/mod.rs
@@ -40,6 +40,9 @@
     /// Copies of messages that may still arrive.
     pub kept_copies: Vec<Message>,
     pub workers: Vec<Worker>,
+    /// Tasks of which some attempt was done. Workers keep the results elsewhere, so that a task
+    /// that is started again ends as done at once.
+    pub results: BTreeSet<TaskId>,
     pub in_flight: Vec<Message>,
     /// Machines whose heartbeats get lost.
     pub heartbeats_lost: BTreeSet<MachineId>,
@@ -67,6 +70,7 @@
             deposed: None,
             kept_copies: Vec::new(),
             workers,
+            results: BTreeSet::new(),
             in_flight: Vec::new(),
             heartbeats_lost: BTreeSet::new(),
             next_job: 0,
--- a/tests/safety/cluster/operation.rs
+++ b/tests/safety/cluster/operation.rs
@@ -27,6 +27,8 @@
     /// A copy of a message is kept and may arrive much later, more than once.
     KeepCopy(usize),
     DeliverKeptCopy(usize),
+    /// Copies of all batches of commands in flight are kept.
+    KeepCopiesOfCommands,
     /// A heartbeat reaches the deposed leader, which a partition has left with the workers,
     /// and it responds.
     DeposedLeaderResponds(usize),
--- a/tests/safety/cluster/step/machines.rs
+++ b/tests/safety/cluster/step/machines.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Keeps the results of the tasks that are done by now.
+    pub(super) fn keep_results(&mut self) {
+        let tasks = self.workers.iter().flat_map(|worker| &worker.tasks);
+        let done = tasks.filter(|(_, task)| task.exit_reason == Some(ExitReason::Done));
+        self.results.extend(done.map(|(id, _)| *id));
+    }
+
     pub(super) fn fail_all_tasks(&mut self) {
         for task in self
             .workers
--- a/tests/safety/cluster/step/mod.rs
+++ b/tests/safety/cluster/step/mod.rs
@@ -14,6 +14,7 @@
 impl SimulatedCluster {
     pub fn step(&mut self, operation: Operation) {
         self.apply(operation);
+        self.keep_results();
         self.run_round();
         self.check_statuses_agree_with_storage();
     }
@@ -36,6 +37,7 @@
             Operation::Lose(message) => self.lose(message),
             Operation::KeepCopy(message) => self.keep_copy(message),
             Operation::DeliverKeptCopy(message) => self.deliver_kept_copy(message),
+            Operation::KeepCopiesOfCommands => self.keep_copies_of_commands(),
             Operation::DeposedLeaderResponds(machine) => self.deposed_leader_responds(machine),
             Operation::Unreachable { machines, begins } => {
                 self.first_workers(machines)
--- a/tests/safety/cluster/step/network.rs
+++ b/tests/safety/cluster/step/network.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    pub(super) fn keep_copies_of_commands(&mut self) {
+        let commands = self
+            .in_flight
+            .iter()
+            .filter(|message| matches!(message, Message::Command { .. }));
+        self.kept_copies.extend(commands.cloned());
+    }
+
     pub(super) fn deliver_kept_copy(&mut self, selector: usize) {
         if !self.kept_copies.is_empty() {
             let message = self.kept_copies[selector % self.kept_copies.len()].clone();
--- a/tests/safety/commands.rs
+++ b/tests/safety/commands.rs
@@ -5,9 +5,10 @@
 use crate::support::*;
 
 #[test]
-fn a_heartbeat_with_a_token_below_the_last_start_removes_no_slot() {
-    // A start that was not answered may still arrive. Only a heartbeat with a token at
-    // least as high as the start's shows that it can't take effect any more.
+fn a_heartbeat_with_a_token_up_to_that_of_the_last_start_removes_no_slot() {
+    // A start that was not answered may still arrive. If the worker has seen its token, it was
+    // carried out, but a late copy of it would be carried out as well. Only a heartbeat with a
+    // higher token shows that it can't take effect any more.
     let now = start();
     let mut model = model(7);
     let id = MachineId::from("i-1");
@@ -41,6 +42,19 @@
     let mut newer = heartbeat("i-1", "small", "north", false, 7, 3);
     newer.token = batch.token;
     model.apply_heartbeat(&newer, now + secs(3));
+    assert_eq!(
+        model.machines()[&id].slots.len(),
+        1,
+        "a late copy of the start may still take effect"
+    );
+    let probe = model
+        .next_command_batch(&id, now + secs(4))
+        .expect("a probe")
+        .batch;
+    assert!(probe.token > batch.token);
+    assert!(probe.commands.is_empty(), "the start is repeated with the probe");
+    (newer.token, newer.sequence) = (probe.token, 4);
+    model.batch_finished(&id, Some(&newer), now + secs(4));
     assert!(model.machines()[&id].slots.is_empty());
 }
 
--- a/tests/safety/main.rs
+++ b/tests/safety/main.rs
@@ -11,6 +11,7 @@
 mod commands;
 mod generated;
 mod heartbeats;
+mod late_copies;
 #[path = "../support/mod.rs"]
 mod support;
 #[path = "../support/worker.rs"]
