Evidence: fencing a lost attempt holds back neither starts nor acknowledgements

Cause: a heartbeat without any token was taken for one with the token of a start that was never sent (both 0), so the start was held back for good. And an attempt whose end was recorded after the fence was still marked as waiting for one, so that each response fenced the worker again in place of the acknowledgement.

Change: only a start that was sent can have been carried out; recording the end takes the mark away. Two tests, which failed before.

--- a/src/core/evidence/heartbeats/absence.rs
+++ b/src/core/evidence/heartbeats/absence.rs
@@ -22,7 +22,8 @@
 /// raises that token.
 pub(super) fn mark_lost_attempts(machine: &mut Machine, heartbeat: &Heartbeat) {
     for (task, slot) in &mut machine.slots {
-        if heartbeat.token == slot.start_token && !lists_attempt(heartbeat, *task, slot.attempt) {
+        let is_start_executed = slot.start_token > 0 && heartbeat.token == slot.start_token;
+        if is_start_executed && !lists_attempt(heartbeat, *task, slot.attempt) {
             slot.awaits_fence = true;
             machine.needs_probe = true;
         }
--- a/src/core/evidence/heartbeats/exit.rs
+++ b/src/core/evidence/heartbeats/exit.rs
@@ -53,6 +53,7 @@
         machine.needs_probe = true;
         return ExitEffect::None;
     }
+    slot.awaits_fence = false;
     slot.state = SlotState::Ended(reason);
     let ran = slot.running_since.map(|since| now - since);
     let was_stopped = slot.stop_grace.is_some();
--- a/tests/safety/commands.rs
+++ b/tests/safety/commands.rs
@@ -1,5 +1,6 @@
 //! Commands, their fencing tokens, and commands that are still in flight.
 
+use bitternfold::core::ClusterModel;
 use bitternfold::wire::*;
 
 use crate::support::*;
@@ -225,3 +226,65 @@
     }
     assert!(model.is_partitioned_from_workers(now + secs(14)));
 }
+
+/// A model whose machine `i-1` is fenced, with a job of one task that is placed on it; the
+/// placement is stored.
+fn model_with_placed_task(now: std::time::Instant) -> ClusterModel {
+    let mut model = model(7);
+    model.apply_heartbeat(&heartbeat("i-1", "small", "north", false, 7, 1), now);
+    model.add_job(job_record(job(1, 1, 4.0)), now);
+    model.run_scheduling_round(now);
+    model
+        .take_due_writes(now)
+        .iter()
+        .for_each(|write| model.write_finished(write, true, now));
+    model
+}
+
+// Guards against a start that is held back for good, as if it had been carried out and lost,
+// because of a heartbeat from before the worker saw any token.
+#[test]
+fn a_heartbeat_without_a_token_does_not_hold_back_a_start() {
+    let now = start();
+    let mut model = model_with_placed_task(now);
+    let mut message = heartbeat("i-1", "small", "north", false, 7, 2);
+    message.token = 0;
+    model.apply_heartbeat(&message, now);
+    let batch = model
+        .next_command_batch(&"i-1".into(), now)
+        .expect("the start")
+        .batch;
+    assert!(matches!(batch.commands[..], [Command::Start { .. }]));
+}
+
+// Guards against ends that are recorded while a copy of the start may take effect, and against
+// responses that go on fencing the worker in place of the acknowledgement.
+#[test]
+fn a_failed_attempt_is_fenced_then_recorded_and_acknowledged() {
+    let now = start();
+    let id = MachineId::from("i-1");
+    let mut model = model_with_placed_task(now);
+    let batch = model.next_command_batch(&id, now).expect("the start").batch;
+    let mut message = heartbeat("i-1", "small", "north", false, 7, 2);
+    message.token = batch.token;
+    message.tasks = reported_running(&model, &id);
+    message.tasks[0].state = TaskState::Ended;
+    message.tasks[0].exit_reason = Some(ExitReason::Failed);
+    model.batch_finished(&id, Some(&message), now);
+    let is_placed = |model: &ClusterModel| model.machines()[&id].used_resources().cpus > 0.0;
+    assert!(
+        is_placed(&model),
+        "the end counts although the attempt may start again"
+    );
+    let fence = model
+        .heartbeat_response(&id, message.token, now)
+        .expect("a response");
+    assert!(fence.token > batch.token && fence.commands.is_empty());
+    (message.token, message.sequence) = (fence.token, 3);
+    model.apply_heartbeat(&message, now);
+    assert!(!is_placed(&model), "the end of a fenced attempt doesn't count");
+    let response = model
+        .heartbeat_response(&id, message.token, now)
+        .expect("a response");
+    assert!(matches!(response.commands[..], [Command::Acknowledge { .. }]));
+}
