Takeover: the look-up of a dependency reads its final state, cached or not

Cause: a final state that was cached was not read again. One learned from another controller's response has no time of the end, and the look-up is made to read it: without it the times of the jobs after it count from their submission.

Change: only the walk over dependencies and the check of submissions, which need no time, use the cache; look-ups by id read as they always did. The new test failed before.

--- a/src/controller/job_lookup.rs
+++ b/src/controller/job_lookup.rs
@@ -51,12 +51,9 @@
         Ok(status.map_or(StoredJob::NeverAccepted, StoredJob::Finished))
     }
 
-    /// The status of a finished job, from the cache or from the state service; `None` if the
-    /// job is not finished.
+    /// Reads the final state of a job from the state service and caches it; `None` if the job
+    /// is not finished.
     pub(super) async fn read_final_state(&self, id: JobId) -> Result<Option<JobStatus>, StoreError> {
-        if let Some(status) = self.final_states().status(id) {
-            return Ok(Some(status));
-        }
         let KeyRead::Found(item) = self.store.get_for_user(&record::final_key(id)).await? else {
             return Ok(None);
         };
--- a/src/controller/stored_dependencies.rs
+++ b/src/controller/stored_dependencies.rs
@@ -116,16 +116,24 @@
     }
 
     /// Looks up jobs that are most likely finished, all at the same time; returns them in the
-    /// same order. All look-ups are completed even if one of them fails, so that the outcomes
-    /// are cached for the next time.
+    /// same order. Those whose final states are cached cost no request. All look-ups are
+    /// completed even if one of them fails, so that the outcomes are cached for the next time.
     pub(super) async fn look_up_likely_finished_jobs(
         &self,
         jobs: &[JobId],
     ) -> Result<Vec<StoredJob>, StoreError> {
-        let lookups = jobs.iter().map(|id| self.look_up_likely_finished_job(*id));
+        let lookups = jobs.iter().map(|id| self.cached_or_looked_up(*id));
         join_all(lookups).await.into_iter().collect()
     }
 
+    async fn cached_or_looked_up(&self, id: JobId) -> Result<StoredJob, StoreError> {
+        let cached = self.final_states().status(id);
+        match cached {
+            Some(status) => Ok(StoredJob::Finished(status)),
+            None => self.look_up_likely_finished_job(id).await,
+        }
+    }
+
     /// [`Self::look_up_job`] for a job that is most likely finished: reads its final state
     /// first, and nothing else if that exists.
     pub async fn look_up_likely_finished_job(&self, id: JobId) -> Result<StoredJob, StoreError> {
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -10,6 +10,10 @@
 
 use std::time::{Duration, Instant};
 
+use bitternfold::controller::Controller;
+use bitternfold::core::storage::record::FinalRecord;
+use bitternfold::settings::{DeploymentSettings, OperatorSettings};
+use bitternfold::wire::{JobId, JobState};
 use serde_json::{json, Value};
 use site::{job_id, run_async_test, Site, TEST_TIMEOUT};
 use standins::send_request;
@@ -323,3 +327,32 @@
         }
     });
 }
+
+// Guards against a leader that counts the times of a job from its submission instead of the end
+// of the last job before it, as it knows that end only from another controller's response.
+#[test]
+fn the_look_up_of_a_dependency_reads_when_it_ended_even_if_its_final_state_is_cached() {
+    run_async_test(async {
+        let site = Site::without_controllers(Duration::from_millis(200), |settings| settings).await;
+        let id: JobId = job_id(1).parse().expect("an id");
+        let stored = json!({"state": "done", "done": 1, "ended_at": 5000});
+        site.state.put(&format!("final/{id}"), stored);
+        let deployment = DeploymentSettings::parse(site.settings(0), "test").expect("settings");
+        let controller = Controller::new(deployment, OperatorSettings::default());
+        let learned_from_response = FinalRecord {
+            state: JobState::Done,
+            done: 1,
+            ended_at: None,
+        };
+        controller.final_states().insert(id, learned_from_response);
+        controller
+            .look_up_likely_finished_job(id)
+            .await
+            .expect("the state service answers");
+        let ended_at = controller
+            .final_states()
+            .final_record(id)
+            .and_then(|r| r.ended_at);
+        assert_eq!(ended_at, Some(5000));
+    });
+}
