--- a/src/core/state/model/jobs.rs
+++ b/src/core/state/model/jobs.rs
@@ -67,7 +67,9 @@
                 .is_some_and(|job| !job.cancellation_is_stored())
         });
         let visits = self.dependencies.visits() - visits_before;
-        debug!(job = %job.spec.id, visits, "job added to the dependency graph");
+        if !job.spec.awaits.is_empty() {
+            debug!(job = %job.spec.id, visits, "job added to the dependency graph");
+        }
     }
 
     /// Applies the outcome of a job that others depend on, as the state service has it.
--- a/src/core/state/model/replay.rs
+++ b/src/core/state/model/replay.rs
@@ -31,7 +31,7 @@
         let dependencies: BTreeMap<JobId, &[JobId]> =
             specs.map(|spec| (spec.id, spec.awaits.as_slice())).collect();
         let ranks = ranks_dependents_first(&dependencies);
-        jobs.sort_by_key(|job| ranks.get(&job.record.spec.id).copied());
+        jobs.sort_by_cached_key(|job| ranks.get(&job.record.spec.id).copied());
         for job in jobs {
             self.add_job(job.record, job.arrival);
         }
