--- a/tests/slow_state.rs
+++ b/tests/slow_state.rs
@@ -1,5 +1,5 @@
-//! Polls while the state service is slow: it takes longer than the 500 ms that were once
-//! enough for all that a response waits for, though less than users wait.
+//! Requests of users while the state service is slow, and how many requests to it they cost. A
+//! response may wait for a few of these, one after the other, before its user gives up.
 
 #[path = "support/site.rs"]
 mod site;
