Followers: only the leader's answers to polls are cached as final states

Cause: the answer that a follower reads from the state service itself was cached like the leader's. Of a job whose dependency is cancelled it says `cancelled` though the job's own record is still unfinished. Should the process lead later in a term that doesn't load the job, it would take it for finished, so its final state would not be stored in that term.

Change: the leader's response is cached where it arrives, as before that commit; answers from what is stored are not. The new test failed before.

--- a/src/controller/user_requests.rs
+++ b/src/controller/user_requests.rs
@@ -54,9 +54,7 @@
         if let Some(response) = self.final_response(id) {
             return response;
         }
-        let response = self.poll_through_leader(id).await;
-        self.cache_final_state(&response);
-        response
+        self.poll_through_leader(id).await
     }
 
     /// Responds to a poll with the leader's response. If there is none within
@@ -66,9 +64,12 @@
     async fn poll_through_leader(self: &Arc<Self>, id: JobId) -> ApiResponse {
         let request = PeerRequest::Poll(id.to_string());
         let forwarded = async {
-            self.forward_to_leader(request, MAX_POLL_TIME)
+            let response = self
+                .forward_to_leader(request, MAX_POLL_TIME)
                 .await
-                .unwrap_or_else(|| ApiResponse::unavailable("no leader answers"))
+                .unwrap_or_else(|| ApiResponse::unavailable("no leader answers"));
+            self.cache_final_state(&response);
+            response
         };
         tokio::pin!(forwarded);
         let patience = self.operator_settings.forward_timeout;
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -356,3 +356,25 @@
         assert_eq!(ended_at, Some(5000));
     });
 }
+
+// Guards against a job that a leader never loads, as its process takes the job for finished after
+// an answer that rests on the cancellation of a dependency.
+#[test]
+fn a_state_that_follows_from_a_dependency_is_not_cached_as_a_final_state() {
+    run_async_test(async {
+        let site = Site::without_controllers(Duration::from_millis(200), |settings| settings).await;
+        for (n, dependencies, cancelled) in [(1, vec![], true), (2, vec![1], false)] {
+            let spec: bitternfold::wire::JobSpec =
+                serde_json::from_value(site.job_awaiting(n, 1, &dependencies)).expect("a job");
+            let record = json!({"spec": spec, "at": 0, "cancelled": cancelled});
+            site.state.put(&format!("jobs/{}", job_id(n)), record);
+        }
+        let deployment = DeploymentSettings::parse(site.settings(0), "test").expect("settings");
+        let controller = Controller::new(deployment, OperatorSettings::default());
+        let id: JobId = job_id(2).parse().expect("an id");
+        let response = controller.poll_job(id).await;
+        let view: Value = serde_json::from_slice(&response.body).expect("json");
+        assert_eq!((response.status, &view["standing"]), (200, &json!("cancelled")));
+        assert!(controller.final_states().status(id).is_none());
+    });
+}
