--- a/tests/safety/commands.rs
+++ b/tests/safety/commands.rs
@@ -97,17 +97,9 @@
     // stop has had time to arrive, a response with a higher token makes the worker refuse the
     // start for good.
     let now = start();
-    let mut model = model(7);
     let id = MachineId::from("i-1");
-    model.apply_heartbeat(&heartbeat("i-1", "small", "north", false, 7, 1), now);
-    let job_record = job_record(job(1, 1, 4.0));
-    let job = job_record.spec.id;
-    model.add_job(job_record, now);
-    model.run_scheduling_round(now);
-    model
-        .take_due_writes(now)
-        .iter()
-        .for_each(|write| model.write_finished(write, true, now));
+    let mut model = model_with_placed_task(now);
+    let job = *model.jobs().keys().next().expect("the job");
     let batch = model.next_command_batch(&id, now).expect("the start").batch;
     model.batch_finished(&id, None, now + secs(1));
     model.cancel(job, now + secs(1));
